--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Commands for developers. README.md describes the first two.
+GO ?= go
+FAULT ?=
+
+.PHONY: test lint demo build bench slopes
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+lint:
+	@out="$$($(GO) tool gofumpt -l .)"; if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config revive.toml -formatter friendly ./...
+
+test: lint
+	$(GO) test -race ./...
+
+demo: build
+	./scripts/demo.sh "$(FAULT)"
--- /dev/null
+++ b/core/bvmember/bvmember.go
@@ -0,0 +1,2 @@
+// Package bvmember keeps a balancer's view of its peers.
+package bvmember
--- /dev/null
+++ b/core/bvmember/heartbeat.go
@@ -0,0 +1,37 @@
+package bvmember
+
+import (
+	"time"
+
+	"balsamvane/core/bvconfig"
+)
+
+// State is a balancer's stage of life as it announces it.
+type State uint8
+
+// The states.
+const (
+	StateJoining State = iota // Hands packets on; owns no flows.
+	StateActive               // Decides for the flows that it owns.
+	StateLeaving              // Hands packets on and pushes its exceptions.
+)
+
+// Heartbeat is what a balancer tells its peers twice a second.
+type Heartbeat struct {
+	Node        bvconfig.NodeID
+	Incarnation uint64
+	State       State
+	Version     bvconfig.Version
+	// BaseRevision is the revision whose upstream lists give the base picks.
+	BaseRevision uint64
+	// PlatformAge is the time since the last successful platform contact.
+	PlatformAge time.Duration
+	// Dead lists the peers that the sender considers dead.
+	Dead []DeadPeer
+}
+
+// DeadPeer is a peer, and the incarnation in which it was declared dead.
+type DeadPeer struct {
+	Node        bvconfig.NodeID
+	Incarnation uint64
+}
--- /dev/null
+++ b/core/bvroute/bvroute.go
@@ -0,0 +1,2 @@
+// Package bvroute decides what a balancer does with each packet.
+package bvroute
