Add the events and actions of a node

Cause: the I/O packages and the core are written at the same time and need a fixed boundary. Ruled out: callbacks from the core, which would hide the order of effects.

--- /dev/null
+++ b/core/bvnode/action.go
@@ -0,0 +1,76 @@
+package bvnode
+
+import (
+	"net/netip"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvmember"
+)
+
+// Action is something that the node wants done outside. The set of actions is
+// closed.
+type Action interface{ action() }
+
+// SendHeartbeat sends a heartbeat to each of the addresses over UDP.
+type SendHeartbeat struct {
+	To        []netip.AddrPort
+	Heartbeat bvmember.Heartbeat
+}
+
+// FetchConfig reads the configuration from a peer; the answer comes back as
+// [ConfigOffered].
+type FetchConfig struct {
+	From    bvconfig.NodeID
+	Control netip.AddrPort
+}
+
+// WatchPlatform starts or stops the watch on the platform. The node sends it
+// only when the wish changes.
+type WatchPlatform struct {
+	Enabled bool
+}
+
+// ReadPlatform reads the platform once after Delay.
+type ReadPlatform struct {
+	Delay time.Duration
+}
+
+// RequestSync asks a peer for records from Cursor on; the answer comes back as
+// [SyncReceived] or [SyncFailed].
+type RequestSync struct {
+	From    bvconfig.NodeID
+	Control netip.AddrPort
+	Cursor  uint64
+	Limit   int // Bytes of records in the answer.
+}
+
+// PushRecords sends exceptions to a peer; the answer comes back as
+// [PushAcknowledged] or [SyncFailed].
+type PushRecords struct {
+	To       bvconfig.NodeID
+	Control  netip.AddrPort
+	Sequence uint64
+	Records  []FlowRecord
+}
+
+// SetProbes replaces the set of upstreams to probe.
+type SetProbes struct {
+	Upstreams []bvconfig.Upstream
+}
+
+// Stop ends the process; all that had to be pushed has been pushed, or the
+// bound has passed.
+type Stop struct {
+	// Unpushed is the number of records that no peer has acknowledged.
+	Unpushed int
+}
+
+func (SendHeartbeat) action() {}
+func (FetchConfig) action()   {}
+func (WatchPlatform) action() {}
+func (ReadPlatform) action()  {}
+func (RequestSync) action()   {}
+func (PushRecords) action()   {}
+func (SetProbes) action()     {}
+func (Stop) action()          {}
--- /dev/null
+++ b/core/bvnode/event.go
@@ -0,0 +1,137 @@
+package bvnode
+
+import (
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvmember"
+	"balsamvane/core/bvroute"
+)
+
+// Event is something that happened outside the node, other than a packet.
+// The set of events is closed.
+type Event interface{ event() }
+
+// Tick lets time pass. The caller sends one every [TickInterval].
+type Tick struct{}
+
+// HeartbeatReceived carries an authenticated heartbeat of a peer.
+type HeartbeatReceived struct {
+	Heartbeat bvmember.Heartbeat
+}
+
+// ConfigOffered carries a valid configuration read from the platform or from
+// a peer. FromPlatform marks a successful platform read.
+type ConfigOffered struct {
+	Config       bvconfig.Config
+	FromPlatform bool
+}
+
+// PlatformContacted tells that the platform answered, also when there was
+// nothing new.
+type PlatformContacted struct{}
+
+// VMListRead carries the platform's lagging list of VMs.
+type VMListRead struct {
+	VMs []VM
+}
+
+// VM is an entry of the platform's list.
+type VM struct {
+	Name  string
+	State VMState
+}
+
+// VMState is a VM's state in the platform's list.
+type VMState uint8
+
+// The states of a VM.
+const (
+	VMLive VMState = iota
+	VMLeaving
+	VMGone
+)
+
+// ProbeSucceeded carries an upstream's own report of its health and load.
+type ProbeSucceeded struct {
+	Upstream        bvconfig.UpstreamID
+	State           UpstreamState
+	StartedAt       time.Time
+	OpenConnections int
+	BusySlots       int
+}
+
+// UpstreamState is the state that an upstream reports.
+type UpstreamState uint8
+
+// The states of an upstream.
+const (
+	UpstreamWarm UpstreamState = iota
+	UpstreamCold
+	UpstreamDraining
+	UpstreamShedding
+)
+
+// ProbeFailed tells that an upstream's health endpoint did not answer in time.
+type ProbeFailed struct {
+	Upstream bvconfig.UpstreamID
+}
+
+// FlowRecord is one exception, or a refusal, as sent between peers.
+type FlowRecord struct {
+	Key      [16]byte
+	Kind     bvroute.RecordKind
+	Upstream bvconfig.UpstreamID
+}
+
+// WarmState tells since when an upstream has been accepting flows.
+type WarmState struct {
+	Upstream bvconfig.UpstreamID
+	// Age is the time since the upstream's ramp started.
+	Age time.Duration
+}
+
+// SyncReceived carries a part of a peer's answer to [RequestSync].
+type SyncReceived struct {
+	From         bvconfig.NodeID
+	Records      []FlowRecord
+	Warm         []WarmState
+	BaseRevision uint64
+	// Cursor is where the next request goes on; Done marks the last part.
+	Cursor uint64
+	Done   bool
+}
+
+// SyncFailed tells that a peer did not answer a [RequestSync] or [PushRecords].
+type SyncFailed struct {
+	From bvconfig.NodeID
+}
+
+// RecordsPushed carries exceptions that a peer pushed unasked.
+type RecordsPushed struct {
+	From    bvconfig.NodeID
+	Records []FlowRecord
+}
+
+// PushAcknowledged tells that a peer has stored a [PushRecords].
+type PushAcknowledged struct {
+	From bvconfig.NodeID
+	// Sequence is the sequence number of the acknowledged push.
+	Sequence uint64
+}
+
+// StopRequested starts a planned stop.
+type StopRequested struct{}
+
+func (Tick) event()              {}
+func (HeartbeatReceived) event() {}
+func (ConfigOffered) event()     {}
+func (PlatformContacted) event() {}
+func (VMListRead) event()        {}
+func (ProbeSucceeded) event()    {}
+func (ProbeFailed) event()       {}
+func (SyncReceived) event()      {}
+func (SyncFailed) event()        {}
+func (RecordsPushed) event()     {}
+func (PushAcknowledged) event()  {}
+func (StopRequested) event()     {}
