--- /dev/null
+++ b/core/bvconfig/store.go
@@ -0,0 +1,281 @@
+package bvconfig
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"balsamvane/core/bvfinding"
+)
+
+// ShareWindow is how long a superseded list of balancers still counts for the
+// shares of limits. It covers the time in which some balancer may still work
+// with the earlier list.
+const ShareWindow = 10 * time.Minute
+
+// ErrNotRetained is returned for a revision that the store does not hold, or
+// that has not been in force for long enough.
+var ErrNotRetained = errors.New("bvconfig: revision is not retained or not old enough")
+
+// StoreOptions are the settings of a [Store]. The zero value is usable.
+type StoreOptions struct {
+	// Group, if set, is the only group of which configurations are accepted.
+	Group string
+	// BaseRetention and ShareWindow default to the constants of that name.
+	BaseRetention time.Duration
+	ShareWindow   time.Duration
+
+	lastWins bool // Tests: accept any configuration, whatever its version.
+	trusting bool // Tests: accept invalid configurations.
+}
+
+// Outcome is what became of an offered configuration. The set of outcomes is
+// closed.
+type Outcome interface{ outcome() }
+
+// Accepted tells that the offered configuration is now in force.
+type Accepted struct {
+	Version  Version
+	Previous Version // Zero if there was none.
+}
+
+// Older tells that the offered configuration is older than the one in force.
+type Older struct {
+	Offered Version
+	Current Version
+}
+
+// Same tells that the offered configuration is in force already.
+type Same struct{}
+
+// Conflict tells that two configurations with one revision were published.
+// The one with the higher hash is in force on all nodes.
+type Conflict struct {
+	Offered  Version
+	Previous Version
+	// Adopted is true if the offered configuration has the higher hash.
+	Adopted bool
+	// BaseReplaced is true if the loser also was the base; all entries have
+	// to be compared with the new base lists.
+	BaseReplaced bool
+}
+
+// Invalid tells that the offered configuration is faulty; the one in force
+// stays.
+type Invalid struct {
+	Offered  Version
+	Findings bvfinding.List
+}
+
+func (Accepted) outcome() {}
+func (Older) outcome()    {}
+func (Same) outcome()     {}
+func (Conflict) outcome() {}
+func (Invalid) outcome()  {}
+
+// Generation is a configuration with the time at which it came into force on
+// this node. Configurations are not modified after they have been offered.
+type Generation struct {
+	Config Config
+	Since  time.Time
+}
+
+// balancerCount is a superseded number of balancers in each zone.
+type balancerCount struct {
+	zones map[string]int
+	until time.Time
+}
+
+// Store holds the configuration in force and the earlier ones that are still
+// needed. It only ever moves to a higher [Version]. It is not safe for
+// concurrent use.
+type Store struct {
+	options     StoreOptions
+	generations []Generation // In the order of versions; the last is in force.
+	base        int          // Index of the base in generations.
+	history     []balancerCount
+}
+
+// NewStore returns an empty store.
+func NewStore(o StoreOptions) *Store {
+	if o.BaseRetention == 0 {
+		o.BaseRetention = BaseRetention
+	}
+	if o.ShareWindow == 0 {
+		o.ShareWindow = ShareWindow
+	}
+	return &Store{options: o}
+}
+
+// Current returns the configuration in force; ok is false if there is none.
+func (s *Store) Current() (c Config, ok bool) {
+	if len(s.generations) == 0 {
+		return Config{}, false
+	}
+	return s.generations[len(s.generations)-1].Config, true
+}
+
+// Version returns the version in force, or zero.
+func (s *Store) Version() Version {
+	c, _ := s.Current()
+	return c.Version
+}
+
+// Offer takes a configuration read from the platform or a peer.
+func (s *Store) Offer(c Config, now time.Time) Outcome {
+	current, ok := s.Current()
+	order := c.Version.Compare(current.Version)
+	conflict := ok && c.Version.Revision == current.Version.Revision && order != 0
+	switch {
+	case ok && order == 0:
+		return Same{}
+	case s.options.lastWins:
+	case conflict && order < 0:
+		return Conflict{Offered: c.Version, Previous: current.Version}
+	case order < 0:
+		return Older{Offered: c.Version, Current: current.Version}
+	}
+	if l := s.validate(c, current, ok); !l.Empty() {
+		return Invalid{Offered: c.Version, Findings: l}
+	}
+	s.supersede(current, now)
+	if conflict {
+		return s.replace(c, now)
+	}
+	s.generations = append(s.generations, Generation{Config: c, Since: now})
+	return Accepted{Version: c.Version, Previous: current.Version}
+}
+
+func (s *Store) validate(c, current Config, ok bool) (l bvfinding.List) {
+	if s.options.trusting {
+		return l
+	}
+	l = Validate(c)
+	want := s.options.Group
+	if want == "" && ok {
+		want = current.Group
+	}
+	if want != "" && c.Group != want {
+		l.Add(bvfinding.Place{File: ManifestKey(c.Group)}, "the configuration is of group "+c.Group, "publish that of group "+want)
+	}
+	return l
+}
+
+func (s *Store) replace(c Config, now time.Time) Outcome {
+	last := len(s.generations) - 1
+	previous := s.generations[last].Config.Version
+	s.generations[last] = Generation{Config: c, Since: now}
+	return Conflict{Offered: c.Version, Previous: previous, Adopted: true, BaseReplaced: s.base == last}
+}
+
+func (s *Store) supersede(old Config, now time.Time) {
+	n := balancerCount{zones: map[string]int{}, until: now.Add(s.options.ShareWindow)}
+	for _, b := range old.Balancers {
+		n.zones[b.Zone]++
+	}
+	s.history = slices.DeleteFunc(s.history, func(h balancerCount) bool { return !h.until.After(now) })
+	if len(n.zones) > 0 {
+		s.history = append(s.history, n)
+	}
+}
+
+// Balancers returns the largest number of balancers published for the zone in
+// the configuration in force and those superseded within the share window.
+func (s *Store) Balancers(now time.Time, zone string) int {
+	n := 0
+	c, _ := s.Current()
+	for _, b := range c.Balancers {
+		if b.Zone == zone {
+			n++
+		}
+	}
+	for _, h := range s.history {
+		if h.until.After(now) {
+			n = max(n, h.zones[zone])
+		}
+	}
+	return n
+}
+
+// Base returns the generation whose upstream lists give the base picks.
+func (s *Store) Base() (g Generation, ok bool) {
+	if len(s.generations) == 0 {
+		return Generation{}, false
+	}
+	return s.generations[s.base], true
+}
+
+// At returns the retained generation with the revision.
+func (s *Store) At(revision uint64) (g Generation, ok bool) {
+	i := s.index(revision)
+	if i < 0 {
+		return Generation{}, false
+	}
+	return s.generations[i], true
+}
+
+func (s *Store) index(revision uint64) int {
+	return slices.IndexFunc(s.generations, func(g Generation) bool { return g.Config.Version.Revision == revision })
+}
+
+// BaseCandidate returns the highest generation above the base that has been
+// in force for the base retention. The caller replicates its entries that
+// differ from the picks at the candidate before it calls [Store.SetBase].
+func (s *Store) BaseCandidate(now time.Time) (g Generation, ok bool) {
+	for i := len(s.generations) - 1; i > s.base; i-- {
+		if now.Sub(s.generations[i].Since) >= s.options.BaseRetention {
+			return s.generations[i], true
+		}
+	}
+	return Generation{}, false
+}
+
+// SetBase moves the base up to a retained revision that has been in force for
+// the base retention.
+func (s *Store) SetBase(now time.Time, revision uint64) error {
+	i := s.index(revision)
+	if i < s.base || i < 0 || i > s.base && now.Sub(s.generations[i].Since) < s.options.BaseRetention {
+		return ErrNotRetained
+	}
+	s.base = i
+	return nil
+}
+
+// Retain adds an earlier configuration that a peer holds as a base, so that
+// its picks can be computed; it never changes the configuration in force. age
+// is how long it has been in force on the peer. A store that has no
+// configuration, or already holds the revision, ignores it.
+func (s *Store) Retain(c Config, age time.Duration, now time.Time) bool {
+	current, ok := s.Current()
+	if !ok || c.Version.Revision >= current.Version.Revision || s.index(c.Version.Revision) >= 0 {
+		return false
+	}
+	i := slices.IndexFunc(s.generations, func(g Generation) bool { return g.Config.Version.Compare(c.Version) > 0 })
+	s.generations = slices.Insert(s.generations, i, Generation{Config: c, Since: now.Add(-age)})
+	if i <= s.base {
+		s.base++
+	}
+	return true
+}
+
+// AdoptBase sets the base of a node that joins to the base revision of its
+// peers, which has to be retained. It may move the base down.
+func (s *Store) AdoptBase(revision uint64) error {
+	i := s.index(revision)
+	if i < 0 {
+		return ErrNotRetained
+	}
+	s.base = i
+	return nil
+}
+
+// Prune drops the generations below the base and below lowest, the lowest
+// base revision that a peer announces.
+func (s *Store) Prune(lowest uint64) {
+	n := 0
+	for n < s.base && s.generations[n].Config.Version.Revision < lowest {
+		n++
+	}
+	s.generations = slices.Delete(s.generations, 0, n)
+	s.base -= n
+}
