--- /dev/null
+++ b/core/bvflow/table.go
@@ -0,0 +1,265 @@
+package bvflow
+
+import (
+	"encoding/binary"
+	"errors"
+	"time"
+)
+
+// ErrTableFull is returned when a table holds its maximum of entries.
+var ErrTableFull = errors.New("bvflow: table full")
+
+// State is a flow's stage of life.
+type State uint8
+
+// The states.
+const (
+	StateOpening     State = iota // Only opening packets have been seen.
+	StateEstablished              // A later packet has been seen.
+	StateClosing                  // The caller has sent a FIN; it may still receive.
+	StateClosed                   // The caller has sent a RST.
+	StateRefused                  // Tombstone: the opening was refused and must not run.
+)
+
+// Flags tell how a node came to an entry.
+type Flags uint8
+
+// The flags.
+const (
+	FlagOwner     Flags = 1 << iota // Decided here; otherwise a replica's record.
+	FlagException                   // Differs from a base pick, so it is replicated.
+	FlagCounted                     // Counts as an open flow of its upstream.
+	FlagAdopted                     // Taken from the base pick in the middle of the flow.
+	FlagDatagram                    // UDP.
+)
+
+// Entry is what a balancer knows of a flow. Times are in seconds since the
+// table's epoch.
+type Entry struct {
+	Key        Key
+	Upstream   uint64 // A bvconfig.UpstreamID, which this package can't import.
+	Seen       uint32 // The last packet.
+	Replicated uint32 // The last time the entry went through its replica set.
+	next       uint32 // 1 + the slot of the next entry of the bucket, or of the next free slot.
+	State      State
+	Flags      Flags
+	used       bool
+}
+
+// Has reports whether all the given flags are set.
+func (e *Entry) Has(f Flags) bool { return e.Flags&f == f }
+
+// Lifetimes are the times after which entries without packets expire.
+type Lifetimes struct {
+	Opening time.Duration // StateOpening and StateRefused.
+	Idle    time.Duration // StateEstablished and all exceptions.
+	Closing time.Duration // StateClosing, StateClosed.
+}
+
+// DefaultLifetimes covers a caller's retransmissions of an opening packet
+// (1+2+4+8+16+32 s = 63 s) and the longest idle time of a feed. A closing
+// entry that expires falls back to its base pick, so it may be short.
+var DefaultLifetimes = Lifetimes{Opening: 65 * time.Second, Idle: 2 * time.Hour, Closing: time.Minute}
+
+const (
+	chunkBits   = 10 // Entries are allocated 1,024 at a time, buckets likewise.
+	chunkSize   = 1 << chunkBits
+	chunkMask   = chunkSize - 1
+	initialSize = chunkSize
+)
+
+// Table holds the entries of a balancer, at most 45 bytes for each when it is
+// large. Entries never move, so that a sweep by slot misses none, and a
+// pointer to an entry stays valid until its deletion. Buckets grow one at a
+// time by linear hashing (Litwin, 1980), so that no insertion pauses to
+// rehash. A Table is not safe for concurrent use.
+type Table struct {
+	epoch     time.Time
+	lifetimes Lifetimes
+	max       int
+	length    int
+	chunks    []*[chunkSize]Entry
+	slots     uint32 // Slots in use or free.
+	free      uint32 // 1 + the first free slot.
+	heads     []*[chunkSize]uint32
+	size      uint32 // Buckets at the start of the current doubling.
+	split     uint32 // Buckets already split in the current doubling.
+	expiry    uint32 // Slot at which Expire goes on.
+}
+
+// NewTable returns a table for at most max entries. epoch is a time before
+// all others that will be passed in.
+func NewTable(limit int, epoch time.Time, l Lifetimes) *Table {
+	return &Table{
+		epoch: epoch, lifetimes: l, max: limit, size: initialSize,
+		heads: []*[chunkSize]uint32{new([chunkSize]uint32)},
+	}
+}
+
+// Len returns the number of entries.
+func (t *Table) Len() int { return t.length }
+
+// Max returns the greatest possible number of entries.
+func (t *Table) Max() int { return t.max }
+
+// Full reports whether an insertion would fail.
+func (t *Table) Full() bool { return t.length >= t.max }
+
+// Seconds converts a time to seconds since the table's epoch.
+func (t *Table) Seconds(now time.Time) uint32 {
+	return uint32(max(now.Sub(t.epoch), 0) / time.Second)
+}
+
+func (t *Table) head(k *Key) *uint32 {
+	h := uint32(binary.BigEndian.Uint64(k[8:]))
+	b := h & (t.size - 1)
+	if b < t.split {
+		b = h & (2*t.size - 1)
+	}
+	return &t.heads[b>>chunkBits][b&chunkMask]
+}
+
+func (t *Table) slot(i uint32) *Entry { return &t.chunks[i>>chunkBits][i&chunkMask] }
+
+// Lookup returns the entry for k, or nil.
+func (t *Table) Lookup(k Key) *Entry {
+	for i := *t.head(&k); i != 0; {
+		e := t.slot(i - 1)
+		if e.Key == k {
+			return e
+		}
+		i = e.next
+	}
+	return nil
+}
+
+// Touch notes a packet of the entry's flow.
+func (t *Table) Touch(now time.Time, e *Entry) { e.Seen = t.Seconds(now) }
+
+// Insert adds an entry for k with Seen set to now, or returns the existing
+// one unchanged. It returns [ErrTableFull] if there is no room.
+func (t *Table) Insert(now time.Time, k Key) (*Entry, error) {
+	if e := t.Lookup(k); e != nil {
+		return e, nil
+	}
+	if t.Full() {
+		return nil, ErrTableFull
+	}
+	i := t.free
+	if i == 0 {
+		if int(t.slots>>chunkBits) == len(t.chunks) {
+			t.chunks = append(t.chunks, new([chunkSize]Entry))
+		}
+		t.slots++
+		i = t.slots
+	} else {
+		t.free = t.slot(i - 1).next
+	}
+	t.length++
+	if uint32(t.length) > t.size+t.split {
+		t.splitBucket()
+	}
+	h := t.head(&k)
+	e := t.slot(i - 1)
+	*e = Entry{Key: k, Seen: t.Seconds(now), next: *h, used: true}
+	*h = i
+	return e, nil
+}
+
+// splitBucket distributes the entries of the next bucket over it and a new one.
+func (t *Table) splitBucket() {
+	if b := t.size + t.split; int(b>>chunkBits) == len(t.heads) {
+		t.heads = append(t.heads, new([chunkSize]uint32))
+	}
+	h := &t.heads[t.split>>chunkBits][t.split&chunkMask]
+	i := *h
+	*h = 0
+	t.split++
+	for i != 0 {
+		e := t.slot(i - 1)
+		next := e.next
+		n := t.head(&e.Key)
+		e.next, *n = *n, i
+		i = next
+	}
+	if t.split == t.size {
+		t.size, t.split = 2*t.size, 0
+	}
+}
+
+// Delete removes the entry for k, if there is one.
+func (t *Table) Delete(k Key) {
+	p := t.head(&k)
+	for *p != 0 {
+		i := *p
+		e := t.slot(i - 1)
+		if e.Key == k {
+			*p = e.next
+			*e = Entry{next: t.free}
+			t.free = i
+			t.length--
+			return
+		}
+		p = &e.next
+	}
+}
+
+// Lifetime returns how long e is kept after its last packet. Exceptions are
+// kept for the idle time even when closed, since replicas can't see the
+// close. A replica's record lives a quarter longer, because its owner renews
+// it only once in a quarter of the idle time.
+func (t *Table) Lifetime(e *Entry) time.Duration {
+	switch {
+	case e.State == StateRefused:
+		return t.lifetimes.Opening
+	case !e.Has(FlagOwner):
+		return t.lifetimes.Idle + t.lifetimes.Idle/4
+	case e.Has(FlagException):
+		return t.lifetimes.Idle
+	case e.State == StateOpening:
+		return t.lifetimes.Opening
+	case e.State == StateEstablished:
+		return t.lifetimes.Idle
+	default:
+		return t.lifetimes.Closing
+	}
+}
+
+// Expired reports whether e has outlived its lifetime.
+func (t *Table) Expired(now time.Time, e *Entry) bool {
+	age := time.Duration(int64(t.Seconds(now))-int64(e.Seen)) * time.Second
+	return age > t.Lifetime(e)
+}
+
+// Expire looks at the next work slots and deletes expired entries, calling
+// before for each of them. Calls go round the table.
+func (t *Table) Expire(now time.Time, work int, before func(*Entry)) {
+	for range min(work, int(t.slots)) {
+		if t.expiry >= t.slots {
+			t.expiry = 0
+		}
+		e := t.slot(t.expiry)
+		t.expiry++
+		if e.used && t.Expired(now, e) {
+			if before != nil {
+				before(e)
+			}
+			t.Delete(e.Key)
+		}
+	}
+}
+
+// Range visits the entries of up to work slots from cursor on, until visit
+// returns false. It returns the cursor to go on from; done means that the end
+// has been reached. An entry that exists during a whole series of calls,
+// starting with cursor 0, is visited. visit may change or delete the entry.
+func (t *Table) Range(cursor uint64, work int, visit func(*Entry) bool) (next uint64, done bool) {
+	for ; work > 0 && cursor < uint64(t.slots); work-- {
+		e := t.slot(uint32(cursor))
+		cursor++
+		if e.used && !visit(e) {
+			break
+		}
+	}
+	return cursor, cursor >= uint64(t.slots)
+}
