--- a/core/bvflow/bvflow.go
+++ b/core/bvflow/bvflow.go
@@ -19,6 +19,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/hex"
 	"net/netip"
 
 	"github.com/zeebo/xxh3"
@@ -81,6 +82,9 @@
 // High returns the first 64 bits of the key, for use in further hashing.
 func (k Key) High() uint64 { return binary.BigEndian.Uint64(k[:8]) }
 
+// String returns the key in hexadecimal.
+func (k Key) String() string { return hex.EncodeToString(k[:]) }
+
 // Hasher computes keys. All balancers of a group use the same seed, which the
 // configuration publishes.
 type Hasher struct {
--- a/core/bvflow/table.go
+++ b/core/bvflow/table.go
@@ -39,7 +39,7 @@
 	Key        Key
 	Upstream   uint64 // A bvconfig.UpstreamID, which this package can't import.
 	Seen       uint32 // The last packet.
-	Replicated uint32 // The last time the entry went through its replica set.
+	Replicated uint32 // The last time the entry went through its replica set; 0 if never.
 	next       uint32 // 1 + the slot of the next entry of the bucket, or of the next free slot.
 	State      State
 	Flags      Flags
@@ -263,3 +263,13 @@
 	}
 	return cursor, cursor >= uint64(t.slots)
 }
+
+var stateNames = [...]string{"opening", "established", "closing", "closed", "refused"}
+
+// String returns the state's name.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/core/bvroute/picture.go
@@ -0,0 +1,48 @@
+package bvroute
+
+import (
+	"net/netip"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvmember"
+)
+
+// Picture is all that the decision depends on besides the flow table and the
+// limits. The router copies what it needs.
+type Picture struct {
+	// State is this node's own state.
+	State  bvmember.State
+	Config bvconfig.Config
+	// Bases are the base revisions in use. The first one gives the base
+	// picks; a flow that differs from the pick at any of them is an exception.
+	Bases []Base
+	// Gone are upstreams whose VM or address is no longer theirs, in addition
+	// to those that the router finds by their zone and address.
+	Gone []bvconfig.UpstreamID
+	// Retired are upstreams that the configuration no longer has but that
+	// still serve their flows.
+	Retired []bvconfig.Upstream
+	// Peers are the other live balancers of the group.
+	Peers []Peer
+}
+
+// Base is an upstream list that gives base picks. Upstreams holds the whole
+// list of the revision, with those that have gone since: their weight stays
+// in the sum of their zone, since a change of the sum would move the base
+// picks of other upstreams' flows.
+type Base struct {
+	Revision  uint64
+	Upstreams []bvconfig.Upstream
+}
+
+// Peer is a live balancer.
+type Peer struct {
+	ID     bvconfig.NodeID
+	Zone   string
+	State  bvmember.State
+	Tunnel netip.AddrPort
+	// InSync tells that this node has all exceptions that the peer had for it.
+	InSync bool
+	// OtherVersion tells that the peer runs another configuration.
+	OtherVersion bool
+}
--- /dev/null
+++ b/core/bvroute/place.go
@@ -0,0 +1,175 @@
+package bvroute
+
+import (
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvmember"
+	"balsamvane/core/bvpick"
+)
+
+// The first candidate gives way to the second only when it is clearly more
+// loaded: small differences would make exceptions without any gain.
+const (
+	loadMarginFlows   = 8
+	loadMarginPercent = 5
+)
+
+// maxCandidates is the number of upstreams that are ranked in one pass.
+const maxCandidates = 16
+
+// place chooses an upstream for a new flow. e is the entry that the flow
+// replaces, if any.
+func (c *passage) place(e *bvflow.Entry) Decision {
+	owns := c.selfOwns()
+	zone := c.placing
+	if !owns {
+		zone = c.view.selfZone
+	}
+	if zone < 0 || c.view.zones[zone].out || c.view.state != bvmember.StateActive {
+		return drop(ReasonNoOwner)
+	}
+	if c.runsTwice() && (!owns || c.placing != c.configured) && c.enabled(openingWindow) {
+		return drop(ReasonUncertainOpening)
+	}
+	if c.limiter.Shed(c.service.class) || e == nil && c.table.Full() {
+		return drop(ReasonOverload)
+	}
+	settled := c.settled(c.now, c.service, c.key)
+	var t *target
+	if c.runsTwice() && !settled && c.enabled(openingWindow) {
+		if t = c.onlyPick(zone); t == nil {
+			return drop(ReasonUncertainOpening)
+		}
+	} else {
+		t = c.choose(zone)
+	}
+	if t != nil {
+		return c.enter(e, t)
+	}
+	if owns && settled || !c.enabled(certainRefusals) {
+		return c.refuse(e)
+	}
+	return drop(ReasonNoCapacity)
+}
+
+// onlyPick returns the one upstream to which any other owner would have sent
+// the packet as well, or nil if there is none or it can't take the flow.
+func (c *passage) onlyPick(zone int) *target {
+	t, base := c.service.basePick(c.key)
+	if t == nil || base != zone || t != c.service.current.upstreamIn(c.key, zone) {
+		return nil
+	}
+	if c.service.exception(c.key, t.id) || !c.informed(c.now, c.service, c.key) || !c.limiter.Admit(c.now, t.id) {
+		return nil
+	}
+	return t
+}
+
+// choose goes down the ranking of the zone's upstreams that take new flows,
+// and returns the first that has room, or nil.
+func (c *passage) choose(zone int) *target {
+	l := &c.service.current.lists[zone]
+	var order [maxCandidates]int
+	n := bvpick.Rank(c.key, l.candidates, order[:])
+	if n > 1 && c.lessLoaded(l.targets[order[1]].id, l.targets[order[0]].id) {
+		order[0], order[1] = order[1], order[0]
+	}
+	for _, i := range order[:n] {
+		if c.limiter.Admit(c.now, l.targets[i].id) {
+			return l.targets[i]
+		}
+	}
+	if n < maxCandidates {
+		return nil
+	}
+	for i := bvpick.Next(c.key, l.candidates, order[n-1]); i >= 0; i = bvpick.Next(c.key, l.candidates, i) {
+		if c.limiter.Admit(c.now, l.targets[i].id) {
+			return l.targets[i]
+		}
+	}
+	return nil
+}
+
+// lessLoaded reports whether second has clearly fewer open flows than first.
+func (c *passage) lessLoaded(second, first bvconfig.UpstreamID) bool {
+	a, b := c.limiter.OpenFlows(first), c.limiter.OpenFlows(second)
+	return a >= b+loadMarginFlows && a*100 > b*(100+loadMarginPercent)
+}
+
+// enter makes the entry of a new flow to t and sends its opening packet.
+func (c *passage) enter(e *bvflow.Entry, t *target) Decision {
+	replaced := e != nil && e.Has(bvflow.FlagException)
+	if e == nil {
+		var err error
+		if e, err = c.table.Insert(c.now, c.key); err != nil {
+			return drop(ReasonOverload)
+		}
+	}
+	c.uncount(c.now, e)
+	e.Upstream, e.State, e.Flags = uint64(t.id), bvflow.StateOpening, bvflow.FlagOwner
+	e.Seen, e.Replicated = c.table.Seconds(c.now), max(c.table.Seconds(c.now), 1)
+	if c.datagram() {
+		e.Flags |= bvflow.FlagDatagram
+	}
+	// The replicas of a replaced exception must learn of the new one.
+	if replaced || c.service.exception(c.key, t.id) {
+		e.Flags |= bvflow.FlagException
+	}
+	c.count(c.now, e)
+	return c.send(e, t)
+}
+
+// refuse records a tombstone and refuses the flow once the replicas have
+// recorded it too.
+func (c *passage) refuse(e *bvflow.Entry) Decision {
+	if !c.enabled(tombstones) {
+		return Decision{Verdict: VerdictRefuse, Reason: ReasonNoCapacity}
+	}
+	if e == nil {
+		var err error
+		if e, err = c.table.Insert(c.now, c.key); err != nil {
+			return drop(ReasonOverload)
+		}
+	}
+	c.uncount(c.now, e)
+	// The upstream only tells later which service the tombstone belongs to.
+	e.Upstream = 0
+	if t := c.anyTarget(); t != nil {
+		e.Upstream = uint64(t.id)
+	}
+	e.State, e.Flags, e.Seen = bvflow.StateRefused, bvflow.FlagOwner|bvflow.FlagException, c.table.Seconds(c.now)
+	return c.sendRefusal(e, ReasonNoCapacity)
+}
+
+func (c *passage) anyTarget() *target {
+	if t := c.service.current.upstream(c.key); t != nil {
+		return t
+	}
+	t, _ := c.service.basePick(c.key)
+	return t
+}
+
+func (c *passage) sendRefusal(e *bvflow.Entry, reason Reason) Decision {
+	if c.enabled(replication) {
+		rec := c.view.replicas(c.service, c.key)
+		rec.Kind, rec.Upstream = RecordRefused, bvconfig.UpstreamID(e.Upstream)
+		if d, ok := c.toReplica(rec); ok {
+			d.Reason = reason
+			return d
+		}
+	}
+	return Decision{Verdict: VerdictRefuse, Reason: reason}
+}
+
+// refusedBefore answers a packet that has a tombstone. Copies of the opening
+// are refused again, since the first refusal may have been lost.
+func (c *passage) refusedBefore(e *bvflow.Entry) Decision {
+	if !c.opening() && !c.datagram() {
+		return drop(ReasonRefusedBefore)
+	}
+	if !c.selfOwns() {
+		return Decision{Verdict: VerdictRefuse, Reason: ReasonRefusedBefore}
+	}
+	e.Flags |= bvflow.FlagOwner
+	return c.sendRefusal(e, ReasonRefusedBefore)
+}
--- /dev/null
+++ b/core/bvroute/record.go
@@ -0,0 +1,123 @@
+package bvroute
+
+import (
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+)
+
+// record stores what a packet brings about its flow and passes the packet on
+// to the next replica; the last replica sends it to the upstream or sends the
+// refusal.
+func (c *passage) record(rec Record) Decision {
+	e := c.entry()
+	if e != nil {
+		if reason := c.conflict(e, rec); reason != ReasonNone {
+			return drop(reason)
+		}
+	}
+	t := c.view.upstreams[rec.Upstream]
+	if rec.Kind == RecordPlaced && t != nil {
+		if t.service != c.service && c.enabled(serviceChecks) {
+			return drop(ReasonUpstreamGone)
+		}
+		if t.obstacle != ReasonNone {
+			return drop(t.obstacle)
+		}
+	}
+	if !c.store(e, rec) {
+		return drop(ReasonOverload)
+	}
+	if d, ok := c.toReplica(rec); ok {
+		return d
+	}
+	switch {
+	case rec.Kind == RecordRefused:
+		return Decision{Verdict: VerdictRefuse, Reason: ReasonNoCapacity}
+	case t == nil:
+		return drop(ReasonUnknownUpstream)
+	default:
+		return c.toUpstream(t)
+	}
+}
+
+// conflict returns the reason for which a record contradicts what this node
+// knows: a refusal of a flow that has run, or the placement of a flow that
+// was refused or that has been sent to another upstream.
+func (c *passage) conflict(e *bvflow.Entry, rec Record) Reason {
+	if !c.enabled(tombstones) || !c.enabled(openingWindow) {
+		return ReasonNone
+	}
+	recent := c.idle(c.now, e) <= c.options.OpeningWindow
+	switch {
+	case rec.Kind == RecordRefused:
+		if e.State != bvflow.StateRefused && recent {
+			return ReasonUncertainOpening
+		}
+	case e.State == bvflow.StateRefused:
+		return ReasonRefusedBefore
+	case e.Upstream != uint64(rec.Upstream) && recent && c.runsTwice() && (c.opening() || c.datagram()):
+		return ReasonUncertainOpening
+	}
+	return ReasonNone
+}
+
+// store keeps a record unless this node has a flow of its own under the key
+// that a packet in mid-flow does not replace. It returns false if the table
+// is full.
+func (c *passage) store(e *bvflow.Entry, rec Record) bool {
+	if e == nil {
+		var err error
+		if e, err = c.table.Insert(c.now, c.key); err != nil {
+			return false
+		}
+	} else if e.Upstream != uint64(rec.Upstream) && e.Has(bvflow.FlagOwner) && !e.Has(bvflow.FlagAdopted) &&
+		!c.opening() && e.State <= bvflow.StateEstablished {
+		return true
+	}
+	if e.Upstream != uint64(rec.Upstream) || rec.Kind == RecordRefused {
+		c.uncount(c.now, e)
+	}
+	set(e, rec.Kind, rec.Upstream)
+	e.Seen = c.table.Seconds(c.now)
+	e.Replicated = max(e.Seen, 1)
+	return true
+}
+
+// set turns e into a replica's record. Records are kept as established, since
+// replicas do not see how the flow goes on.
+func set(e *bvflow.Entry, kind RecordKind, u bvconfig.UpstreamID) {
+	e.Upstream = uint64(u)
+	e.Flags = e.Flags&(bvflow.FlagCounted|bvflow.FlagDatagram) | bvflow.FlagException
+	e.State = bvflow.StateEstablished
+	if kind == RecordRefused {
+		e.State = bvflow.StateRefused
+	}
+}
+
+// Store keeps an exception or tombstone that a peer pushes. A flow that this
+// node has placed itself, and a record that came with a packet of the flow
+// within the opening window, are newer than what peers push. It returns
+// [bvflow.ErrTableFull] if there is no room.
+func (r *Router) Store(now time.Time, k bvflow.Key, kind RecordKind, u bvconfig.UpstreamID) error {
+	e := r.table.Lookup(k)
+	if e != nil && !r.table.Expired(now, e) {
+		own := e.Has(bvflow.FlagOwner) && !e.Has(bvflow.FlagAdopted)
+		fresh := e.Replicated != 0 &&
+			time.Duration(r.table.Seconds(now)-e.Replicated)*time.Second <= r.options.OpeningWindow
+		if own || fresh || e.Upstream == uint64(u) && e.Has(bvflow.FlagOwner) {
+			return nil
+		}
+	}
+	if e == nil {
+		var err error
+		if e, err = r.table.Insert(now, k); err != nil {
+			return err
+		}
+	}
+	r.uncount(now, e)
+	set(e, kind, u)
+	e.Seen, e.Replicated = r.table.Seconds(now), 0
+	return nil
+}
--- /dev/null
+++ b/core/bvroute/route.go
@@ -0,0 +1,364 @@
+package bvroute
+
+import (
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvmember"
+	"balsamvane/core/bvpick"
+)
+
+// datagramGrace is how long the datagrams of a new UDP exception go through
+// the replica set. One datagram would not do, since it may be lost while the
+// next one goes to the upstream directly.
+const datagramGrace = 2 * time.Second
+
+// passage is one packet on its way through the decision.
+type passage struct {
+	*Router
+	now     time.Time
+	packet  bvflow.Packet
+	trail   Trail
+	key     bvflow.Key
+	service *service
+	owner   *node // In this node's view; set by findOwner.
+	// configured is the zone by configuration, placing the one whose owner
+	// decides.
+	configured, placing int
+	found               bool // owner, configured and placing are set.
+}
+
+// Route decides on one packet. trail and record are those that came with the
+// packet, and zero for a packet from the fabric.
+func (r *Router) Route(now time.Time, p bvflow.Packet, trail Trail, record Record) Decision {
+	if r.view == nil {
+		return drop(ReasonNotConfigured)
+	}
+	s := r.view.services[address{unmap(p.Destination), p.Protocol}]
+	if s == nil {
+		return drop(ReasonUnknownService)
+	}
+	c := passage{Router: r, now: now, packet: p, trail: trail, key: r.view.hasher.Key(p.Tuple), service: s}
+	if record.Kind != RecordNone {
+		return c.record(record)
+	}
+	e := c.entry()
+	if e == nil {
+		return c.unknown()
+	}
+	if !c.mayUse(e) {
+		if d, ok := c.handTo(c.owner); ok {
+			return d
+		}
+	}
+	return c.known(e)
+}
+
+func drop(reason Reason) Decision { return Decision{Verdict: VerdictDrop, Reason: reason} }
+
+// entry returns the packet's entry unless it has expired or belongs to
+// another service that had the address before.
+func (c *passage) entry() *bvflow.Entry {
+	e := c.table.Lookup(c.key)
+	if e == nil {
+		return nil
+	}
+	if c.table.Expired(c.now, e) {
+		c.uncount(c.now, e)
+		c.table.Delete(c.key)
+		return nil
+	}
+	if t := c.target(e); c.opening() && t != nil && t.service != c.service && c.enabled(serviceChecks) {
+		c.uncount(c.now, e)
+		c.table.Delete(c.key)
+		return nil
+	}
+	return e
+}
+
+func (c *passage) target(e *bvflow.Entry) *target {
+	return c.view.upstreams[bvconfig.UpstreamID(e.Upstream)]
+}
+
+func (c *passage) opening() bool { return c.packet.Phase == bvflow.PhaseOpening }
+
+func (c *passage) datagram() bool { return c.packet.Phase == bvflow.PhaseDatagram }
+
+// runsTwice reports whether the packet's request would run a second time at a
+// second upstream.
+func (c *passage) runsTwice() bool {
+	return (c.packet.Payload > 0 || c.datagram()) && !c.service.idempotent
+}
+
+// idle returns the time since the entry's last packet.
+func (r *Router) idle(now time.Time, e *bvflow.Entry) time.Duration {
+	return time.Duration(int64(r.table.Seconds(now))-int64(e.Seen)) * time.Second
+}
+
+func (c *passage) findOwner() *node {
+	if !c.found {
+		c.configured, c.placing = c.view.placing(c.service, c.key)
+		c.owner, c.found = c.view.owner(c.key, c.placing), true
+	}
+	return c.owner
+}
+
+func (c *passage) selfOwns() bool {
+	o := c.findOwner()
+	return o != nil && o.ID == c.self
+}
+
+// mayUse reports whether the entry decides here. Otherwise the owner is asked
+// first: a replica's record is used only by the owner or for a packet that
+// was handed on, and a former owner's entry may be out of date once the
+// caller has closed the flow or has been silent for long.
+func (c *passage) mayUse(e *bvflow.Entry) bool {
+	closed := e.State == bvflow.StateClosed || e.State == bvflow.StateClosing && c.opening()
+	if e.Has(bvflow.FlagOwner) && !closed && c.idle(c.now, e) <= c.options.OpeningWindow {
+		return true
+	}
+	if c.selfOwns() {
+		return true
+	}
+	if c.trail.Count > 0 && !closed {
+		return true
+	}
+	if e.Has(bvflow.FlagOwner) && !closed {
+		// Where the owner would come back to ask, the entry decides at once.
+		if c.swept != c.generation {
+			return true
+		}
+		o := c.view.owner(c.key, c.baseZone())
+		return o != nil && o.ID == c.self
+	}
+	return false
+}
+
+func (c *passage) baseZone() int {
+	if len(c.service.bases) == 0 {
+		return -1
+	}
+	return c.service.bases[0].zone(c.key)
+}
+
+// handTo hands the packet on to n, unless n has had it or is this node.
+func (c *passage) handTo(n *node) (d Decision, ok bool) {
+	if n == nil || n.ID == c.self || c.trail.Contains(n.ID) {
+		return d, false
+	}
+	// This node takes a place in the trail as well as the next one.
+	if int(c.trail.Count)+1 >= MaxVisited {
+		return d, false
+	}
+	return Decision{Verdict: VerdictHandOn, Next: n.ID, Tunnel: n.Tunnel, Trail: c.trail.With(c.self)}, true
+}
+
+// unknown decides on a packet without an entry.
+func (c *passage) unknown() Decision {
+	if !c.selfOwns() {
+		if d, ok := c.handTo(c.owner); ok {
+			return d
+		}
+		if c.owner == nil && c.trail.Count == 0 {
+			return drop(ReasonNoOwner)
+		}
+		if c.owner != nil && !c.trail.Contains(c.owner.ID) {
+			return drop(ReasonTrailFull)
+		}
+	}
+	if n := c.unsynced(); n != nil {
+		if d, ok := c.handTo(n); ok {
+			return d
+		}
+	}
+	if c.opening() || c.datagram() && c.selfOwns() && c.owned(c.now, c.service, c.key) {
+		return c.place(nil)
+	}
+	return c.adopt()
+}
+
+// unsynced returns the highest-ranked active peer that may know the flow and
+// has not told this node yet, and that has not had the packet.
+func (c *passage) unsynced() *node {
+	joining := c.view.state != bvmember.StateActive
+	if c.view.synced && !joining {
+		return nil
+	}
+	for zi := c.service.current.zone(c.key); zi >= 0; zi = bvpick.Next(c.key, c.service.current.zones, zi) {
+		z := &c.view.zones[zi]
+		for i := bvpick.Best(c.key, z.active); i >= 0; i = bvpick.Next(c.key, z.active, i) {
+			n := &z.nodes[i]
+			if n.ID != c.self && (joining || !n.InSync) && !c.trail.Contains(n.ID) {
+				return n
+			}
+		}
+	}
+	return nil
+}
+
+// adopt decides on a packet in the middle of a flow that this node does not
+// know. Zones other than this one are asked first. A reset is never sent,
+// since another balancer may know the flow.
+func (c *passage) adopt() Decision {
+	t, base := c.service.basePick(c.key)
+	if !c.enabled(basePicking) {
+		t = c.service.current.upstream(c.key)
+	}
+	for _, z := range [2]int{c.configured, base} {
+		if z < 0 || z == c.view.selfZone || c.view.zones[z].out {
+			continue
+		}
+		if len(c.view.zones[z].active) == 0 {
+			return drop(ReasonNoOwner)
+		}
+		if d, ok := c.handTo(c.view.owner(c.key, z)); ok {
+			return d
+		}
+	}
+	if t == nil {
+		return drop(ReasonUpstreamGone)
+	}
+	if t.obstacle != ReasonNone {
+		return drop(t.obstacle)
+	}
+	// A quarter of the table is kept for new flows, so that packets of flows
+	// that do not exist can't fill it.
+	if c.packet.Phase == bvflow.PhaseReset || c.table.Len() >= c.table.Max()/4*3 {
+		return c.toUpstream(t)
+	}
+	e, err := c.table.Insert(c.now, c.key)
+	if err != nil {
+		return c.toUpstream(t)
+	}
+	e.Upstream, e.State = uint64(t.id), bvflow.StateEstablished
+	e.Flags = bvflow.FlagOwner | bvflow.FlagAdopted
+	if c.datagram() {
+		e.Flags |= bvflow.FlagDatagram
+	}
+	if c.service.exception(c.key, t.id) {
+		e.Flags |= bvflow.FlagException
+	}
+	c.count(c.now, e)
+	c.advance(e)
+	return c.send(e, t)
+}
+
+// known decides on a packet whose entry may be used.
+func (c *passage) known(e *bvflow.Entry) Decision {
+	if e.State == bvflow.StateRefused {
+		return c.refusedBefore(e)
+	}
+	t := c.target(e)
+	reason := ReasonNone
+	switch {
+	case t == nil:
+		reason = ReasonUnknownUpstream
+	case t.service != c.service && c.enabled(serviceChecks):
+		reason = ReasonUpstreamGone
+	default:
+		reason = t.obstacle
+	}
+	if reason != ReasonNone {
+		if c.opening() && !c.runsTwice() && c.selfOwns() {
+			return c.place(e)
+		}
+		return drop(reason)
+	}
+	if c.opening() && c.renewable(e) && c.selfOwns() {
+		return c.place(e)
+	}
+	if c.opening() && e.State == bvflow.StateOpening && e.Has(bvflow.FlagCounted) {
+		c.limiter.Retransmitted(c.now, t.id)
+	}
+	if !e.Has(bvflow.FlagOwner) && c.selfOwns() {
+		e.Flags |= bvflow.FlagOwner
+		if e.State <= bvflow.StateEstablished {
+			c.count(c.now, e)
+		}
+	}
+	c.advance(e)
+	return c.send(e, t)
+}
+
+// renewable reports whether an opening packet for a closed flow starts a new
+// flow. Within the opening window it may be a late copy of the old opening.
+func (c *passage) renewable(e *bvflow.Entry) bool {
+	if e.State != bvflow.StateClosing && e.State != bvflow.StateClosed {
+		return false
+	}
+	if e.State == bvflow.StateClosed && !c.runsTwice() {
+		return true
+	}
+	return c.idle(c.now, e) > c.options.OpeningWindow
+}
+
+// advance notes the packet in its entry.
+func (c *passage) advance(e *bvflow.Entry) {
+	seconds := c.table.Seconds(c.now)
+	e.Seen = seconds
+	switch c.packet.Phase {
+	case bvflow.PhaseEstablished:
+		if e.State == bvflow.StateOpening {
+			e.State = bvflow.StateEstablished
+		}
+	case bvflow.PhaseDatagram:
+		if e.State == bvflow.StateOpening && seconds-e.Replicated > uint32(datagramGrace/time.Second) {
+			e.State = bvflow.StateEstablished
+		}
+	case bvflow.PhaseClosing:
+		if e.State < bvflow.StateClosing {
+			e.State = bvflow.StateClosing
+			c.uncount(c.now, e)
+		}
+	case bvflow.PhaseReset:
+		e.State = bvflow.StateClosed
+		c.uncount(c.now, e)
+	}
+}
+
+// send sends the packet to its upstream, through the replica set if that may
+// not know the flow yet. Owners renew exceptions four times in the idle
+// timeout in this way, since the replicas see no other packets of the flow.
+func (c *passage) send(e *bvflow.Entry, t *target) Decision {
+	if !e.Has(bvflow.FlagOwner|bvflow.FlagException) || !c.enabled(replication) {
+		return c.toUpstream(t)
+	}
+	seconds := c.table.Seconds(c.now)
+	first := e.State == bvflow.StateOpening || c.opening()
+	due := e.Replicated == 0 || time.Duration(seconds-e.Replicated)*time.Second >= c.options.IdleTimeout/4
+	if !first && (!due || !c.enabled(refreshing)) {
+		return c.toUpstream(t)
+	}
+	if due {
+		e.Replicated = max(seconds, 1)
+	}
+	rec := c.view.replicas(c.service, c.key)
+	rec.Kind, rec.Upstream = RecordPlaced, t.id
+	if d, ok := c.toReplica(rec); ok {
+		return d
+	}
+	return c.toUpstream(t)
+}
+
+// toReplica hands the packet and its record on to the first of the remaining
+// replicas that is a live peer.
+func (c *passage) toReplica(rec Record) (Decision, bool) {
+	for rec.Count > 0 {
+		next := rec.Replicas[0]
+		copy(rec.Replicas[:], rec.Replicas[1:])
+		rec.Count--
+		rec.Replicas[rec.Count] = 0
+		if n, ok := c.view.peers[next]; ok && next != c.self {
+			return Decision{
+				Verdict: VerdictHandOn, Next: next, Tunnel: n.Tunnel, Upstream: rec.Upstream,
+				Trail: c.trail.With(c.self), Record: rec,
+			}, true
+		}
+	}
+	return Decision{}, false
+}
+
+func (c *passage) toUpstream(t *target) Decision {
+	return Decision{Verdict: VerdictUpstream, Tunnel: t.tunnel, VNI: t.service.vni, Upstream: t.id}
+}
--- /dev/null
+++ b/core/bvroute/sweep.go
@@ -0,0 +1,157 @@
+package bvroute
+
+import (
+	"slices"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvmember"
+	"balsamvane/core/bvpick"
+)
+
+// Handover is an exception or tombstone that other balancers have to store.
+type Handover struct {
+	Key      bvflow.Key
+	Kind     RecordKind
+	Upstream bvconfig.UpstreamID
+	To       [maxMembers]bvconfig.NodeID
+	Count    int
+}
+
+// Generation counts the changes after which a sweep is needed: those of
+// balancers, zones and base lists.
+func (r *Router) Generation() uint64 { return r.generation }
+
+// Swept returns the generation whose sweep is complete.
+func (r *Router) Swept() uint64 { return r.swept }
+
+// Handovers looks at the next work slots of the table and appends what this
+// node has to send to balancers that have newly entered a replica set since
+// the last complete sweep. A sweep starts with cursor 0 and goes on with the
+// returned one until done; the caller starts again when the generation has
+// changed meanwhile, and calls [Router.SweepDone] once all handovers of the
+// sweep are acknowledged. A leaving node hands over everything to the whole
+// replica set.
+func (r *Router) Handovers(now time.Time, cursor uint64, work int, into []Handover) (out []Handover, next uint64, done bool) {
+	if r.view == nil {
+		return into, 0, true
+	}
+	next, done = r.table.Range(cursor, work, func(e *bvflow.Entry) bool {
+		if h, ok := r.handover(now, e); ok {
+			into = append(into, h)
+		}
+		return true
+	})
+	return into, next, done
+}
+
+// SweepDone notes that the handovers of a sweep that started and ended in the
+// given generation are stored by their receivers.
+func (r *Router) SweepDone(generation uint64) {
+	if generation == r.generation {
+		r.baseline, r.swept = r.view, generation
+	}
+}
+
+func (r *Router) handover(now time.Time, e *bvflow.Entry) (h Handover, ok bool) {
+	t := r.view.upstreams[bvconfig.UpstreamID(e.Upstream)]
+	if t == nil || t.obstacle != ReasonNone && e.State != bvflow.StateRefused || t.service == nil || r.table.Expired(now, e) {
+		return h, false
+	}
+	// A new base revision turns flows into exceptions that have been
+	// recomputable so far.
+	if e.Has(bvflow.FlagOwner) && !e.Has(bvflow.FlagException) && t.service.exception(e.Key, t.id) {
+		e.Flags |= bvflow.FlagException
+		e.Replicated = 0
+	}
+	if !e.Has(bvflow.FlagException) {
+		return h, false
+	}
+	var old members
+	if s := r.baseline.byName[t.service.name]; s != nil {
+		old = r.baseline.members(s, e.Key)
+	}
+	sender := r.sender(&old)
+	all := e.Has(bvflow.FlagOwner) && e.Replicated == 0 || sender == 0 || r.view.state == bvmember.StateLeaving
+	if !all && sender != r.self {
+		return h, false
+	}
+	h = newHandover(e)
+	m := r.view.members(t.service, e.Key)
+	for _, id := range m.ids[:m.count] {
+		if id != r.self && (all || !old.contains(id)) {
+			h.To[h.Count] = id
+			h.Count++
+		}
+	}
+	return h, h.Count > 0
+}
+
+func newHandover(e *bvflow.Entry) Handover {
+	h := Handover{Key: e.Key, Kind: RecordPlaced, Upstream: bvconfig.UpstreamID(e.Upstream)}
+	if e.State == bvflow.StateRefused {
+		h.Kind = RecordRefused
+	}
+	return h
+}
+
+// sender returns the first of the former members that is still there, or 0.
+// A joining node has lost its table.
+func (r *Router) sender(old *members) bvconfig.NodeID {
+	for _, id := range old.ids[:old.count] {
+		if n, ok := r.view.peers[id]; ok && n.State != bvmember.StateJoining || id == r.self {
+			return id
+		}
+	}
+	return 0
+}
+
+// HandoversTo looks at the next work slots of the table and appends at most
+// limit exceptions and tombstones that peer needs once it is active, for the
+// answer to its sync request. It returns the cursor to go on from.
+func (r *Router) HandoversTo(now time.Time, peer bvconfig.NodeID, cursor uint64, work, limit int, into []Handover) (out []Handover, next uint64, done bool) {
+	if r.view == nil || limit <= 0 {
+		return into, cursor, r.view == nil
+	}
+	v := r.view.with(peer)
+	next, done = r.table.Range(cursor, work, func(e *bvflow.Entry) bool {
+		t := v.upstreams[bvconfig.UpstreamID(e.Upstream)]
+		if t == nil || t.service == nil || !e.Has(bvflow.FlagException) || r.table.Expired(now, e) {
+			return true
+		}
+		m := v.members(t.service, e.Key)
+		if !m.contains(peer) || !e.Has(bvflow.FlagOwner) && m.firstBut(peer) != r.self {
+			return true
+		}
+		h := newHandover(e)
+		h.To[0], h.Count = peer, 1
+		into = append(into, h)
+		limit--
+		return limit > 0
+	})
+	return into, next, done
+}
+
+func (m *members) firstBut(n bvconfig.NodeID) bvconfig.NodeID {
+	for _, id := range m.ids[:m.count] {
+		if id != n {
+			return id
+		}
+	}
+	return 0
+}
+
+// with returns the view as it will be when peer is active.
+func (v *view) with(peer bvconfig.NodeID) *view {
+	n, ok := v.peers[peer]
+	if !ok || n.zone < 0 || n.State == bvmember.StateActive {
+		return v
+	}
+	w := *v
+	w.zones = slices.Clone(v.zones)
+	z := &w.zones[n.zone]
+	z.active = append(slices.Clone(z.active), bvpick.Balancer(peer))
+	z.nodes = append(slices.Clone(z.nodes), n)
+	return &w
+}
--- /dev/null
+++ b/core/bvroute/view.go
@@ -0,0 +1,365 @@
+package bvroute
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvmember"
+	"balsamvane/core/bvpick"
+
+	"github.com/zeebo/xxh3"
+)
+
+// address is a service address as packets carry it.
+type address struct {
+	netip.AddrPort
+	protocol bvflow.Protocol
+}
+
+// target is a known upstream.
+type target struct {
+	id       bvconfig.UpstreamID
+	name     string
+	tunnel   netip.AddrPort
+	service  *service
+	zone     int    // Index into view.zones, or -1.
+	obstacle Reason // Why no packet may be sent to it; ReasonNone if it is usable.
+	takesNew bool
+}
+
+// list holds the upstreams of a service in one zone.
+type list struct {
+	candidates []bvpick.Candidate
+	targets    []*target
+}
+
+func (l *list) add(t *target, weight uint32) {
+	l.candidates = append(l.candidates, bvpick.Upstream(t.id, weight))
+	l.targets = append(l.targets, t)
+}
+
+// picks is a choice by zone and then by upstream; both slices run parallel to
+// view.zones.
+type picks struct {
+	zones []bvpick.Candidate
+	lists []list
+}
+
+func (p *picks) zone(k bvflow.Key) int { return bvpick.Best(k, p.zones) }
+
+func (p *picks) upstreamIn(k bvflow.Key, zone int) *target {
+	if zone < 0 {
+		return nil
+	}
+	if i := bvpick.Best(k, p.lists[zone].candidates); i >= 0 {
+		return p.lists[zone].targets[i]
+	}
+	return nil
+}
+
+func (p *picks) upstream(k bvflow.Key) *target { return p.upstreamIn(k, p.zone(k)) }
+
+type service struct {
+	name       string
+	vni        uint32
+	class      bvconfig.Class
+	idempotent bool
+	current    picks
+	bases      []picks
+}
+
+// node is a balancer, possibly this one.
+type node struct {
+	Peer
+	zone int
+}
+
+type zone struct {
+	name    string
+	out     bool
+	active  []bvpick.Candidate
+	nodes   []node // Parallel to active.
+	joining []node
+}
+
+// view is a compiled [Picture].
+type view struct {
+	self      bvconfig.NodeID
+	selfZone  int
+	state     bvmember.State
+	hasher    bvflow.Hasher
+	zones     []zone
+	services  map[address]*service
+	byName    map[string]*service
+	upstreams map[bvconfig.UpstreamID]*target
+	peers     map[bvconfig.NodeID]node
+	synced    bool // With all active peers.
+	agreed    bool // All peers run the same configuration.
+	ownership uint64
+}
+
+// removals remembers, for each base revision, the zones and upstreams that
+// have left its list. They do not come back when the zone returns: flows that
+// were placed meanwhile count as base picks of the reduced list.
+type removals map[uint64]*removal
+
+type removal struct {
+	zones     map[string]bool
+	upstreams map[bvconfig.UpstreamID]bool
+}
+
+func (m removals) of(revision uint64) *removal {
+	if m[revision] == nil {
+		m[revision] = &removal{map[string]bool{}, map[bvconfig.UpstreamID]bool{}}
+	}
+	return m[revision]
+}
+
+func newView(self bvconfig.NodeID, selfZone string, p Picture, gone removals) *view {
+	v := &view{
+		self: self, selfZone: -1, state: p.State, hasher: bvflow.NewHasher(p.Config.HashSeed),
+		services: map[address]*service{}, byName: map[string]*service{},
+		upstreams: map[bvconfig.UpstreamID]*target{}, peers: map[bvconfig.NodeID]node{},
+		synced: true, agreed: true,
+	}
+	for i, z := range p.Config.Zones {
+		v.zones = append(v.zones, zone{name: z.Name, out: z.OutOfService})
+		if z.Name == selfZone {
+			v.selfZone = i
+		}
+	}
+	v.addNodes(p, selfZone)
+	v.addServices(p)
+	v.addUpstreams(p)
+	for i, b := range p.Bases {
+		v.addBase(i, b, gone.of(b.Revision))
+	}
+	v.ownership = v.fingerprint()
+	return v
+}
+
+func (v *view) zoneIndex(name string) int {
+	return slices.IndexFunc(v.zones, func(z zone) bool { return z.name == name })
+}
+
+func (v *view) addNodes(p Picture, selfZone string) {
+	all := append(slices.Clone(p.Peers), Peer{ID: v.self, Zone: selfZone, State: p.State, InSync: true})
+	slices.SortFunc(all, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	for _, q := range all {
+		n := node{Peer: q, zone: v.zoneIndex(q.Zone)}
+		if q.ID != v.self {
+			v.peers[q.ID] = n
+			v.agreed = v.agreed && !q.OtherVersion
+			v.synced = v.synced && (q.InSync || q.State != bvmember.StateActive)
+		}
+		if n.zone < 0 {
+			continue
+		}
+		z := &v.zones[n.zone]
+		switch q.State {
+		case bvmember.StateActive:
+			z.active = append(z.active, bvpick.Balancer(q.ID))
+			z.nodes = append(z.nodes, n)
+		case bvmember.StateJoining:
+			z.joining = append(z.joining, n)
+		}
+	}
+}
+
+func (v *view) addServices(p Picture) {
+	for _, s := range p.Config.Services {
+		c := &service{
+			name: s.Name, vni: s.VNI, class: s.Class, idempotent: s.Idempotent,
+			current: newPicks(len(v.zones)), bases: make([]picks, len(p.Bases)),
+		}
+		for i := range c.bases {
+			c.bases[i] = newPicks(len(v.zones))
+		}
+		v.byName[s.Name] = c
+		for _, a := range s.Addresses {
+			v.services[address{unmap(a), s.Protocol}] = c
+		}
+	}
+}
+
+func newPicks(zones int) picks {
+	return picks{zones: make([]bvpick.Candidate, zones), lists: make([]list, zones)}
+}
+
+func unmap(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
+
+func (v *view) addUpstreams(p Picture) {
+	holders := map[netip.AddrPort]bvconfig.UpstreamID{}
+	for _, u := range p.Config.Upstreams {
+		holders[u.Tunnel] = u.ID()
+	}
+	weights := map[*service][]uint64{}
+	for _, u := range p.Config.Upstreams {
+		t := v.addUpstream(u, holders, p.Gone)
+		t.takesNew = !u.Leaving && t.obstacle == ReasonNone
+		if t.takesNew {
+			t.service.current.lists[t.zone].add(t, u.Weight)
+			if weights[t.service] == nil {
+				weights[t.service] = make([]uint64, len(v.zones))
+			}
+			weights[t.service][t.zone] += uint64(u.Weight)
+		}
+	}
+	for s, w := range weights {
+		v.weigh(&s.current, w)
+	}
+	for _, u := range p.Retired {
+		v.addUpstream(u, holders, p.Gone)
+	}
+	for _, b := range p.Bases {
+		for _, u := range b.Upstreams {
+			v.addUpstream(u, holders, p.Gone)
+		}
+	}
+}
+
+func (v *view) weigh(p *picks, weights []uint64) {
+	for i, w := range weights {
+		p.zones[i] = bvpick.Zone(v.zones[i].name, w)
+	}
+}
+
+// addUpstream returns the target for u, whose obstacle is set if its address
+// belongs to another upstream, its zone is out of service, or its service is
+// not configured.
+func (v *view) addUpstream(u bvconfig.Upstream, holders map[netip.AddrPort]bvconfig.UpstreamID, gone []bvconfig.UpstreamID) *target {
+	id := u.ID()
+	if t := v.upstreams[id]; t != nil {
+		return t
+	}
+	t := &target{id: id, name: u.Name, tunnel: u.Tunnel, service: v.byName[u.Service], zone: v.zoneIndex(u.Zone)}
+	holder, held := holders[u.Tunnel]
+	switch {
+	case t.service == nil, held && holder != id, slices.Contains(gone, id):
+		t.obstacle = ReasonUpstreamGone
+	case t.zone < 0 || v.zones[t.zone].out:
+		t.obstacle = ReasonZoneOut
+	}
+	v.upstreams[id] = t
+	return t
+}
+
+func (v *view) addBase(i int, b Base, gone *removal) {
+	weights := map[*service][]uint64{}
+	for _, u := range b.Upstreams {
+		t := v.upstreams[u.ID()]
+		if t.zone < 0 || v.zones[t.zone].out {
+			gone.zones[u.Zone] = true
+		}
+		if t.obstacle != ReasonNone {
+			gone.upstreams[t.id] = true
+		}
+		if t.service == nil || gone.zones[u.Zone] {
+			continue
+		}
+		if weights[t.service] == nil {
+			weights[t.service] = make([]uint64, len(v.zones))
+		}
+		weights[t.service][t.zone] += uint64(u.Weight)
+		if !gone.upstreams[t.id] {
+			t.service.bases[i].lists[t.zone].add(t, u.Weight)
+		}
+	}
+	for s, w := range weights {
+		v.weigh(&s.bases[i], w)
+	}
+}
+
+// fingerprint covers everything that determines owners, replica sets and base
+// picks.
+func (v *view) fingerprint() uint64 {
+	var b []byte
+	number := func(n uint64) { b = binary.BigEndian.AppendUint64(b, n) }
+	for _, z := range v.zones {
+		b = append(append(b, z.name...), 0)
+		for _, n := range z.nodes {
+			number(uint64(n.ID))
+		}
+		number(0)
+		for _, n := range z.joining {
+			number(uint64(n.ID))
+		}
+		number(0)
+	}
+	number(uint64(v.state))
+	names := make([]string, 0, len(v.byName))
+	for n := range v.byName {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for _, n := range names {
+		s := v.byName[n]
+		b = append(append(b, n...), 0)
+		for _, z := range s.current.zones {
+			number(z.Weight())
+		}
+		for _, p := range s.bases {
+			for i, z := range p.zones {
+				number(z.Weight())
+				for _, t := range p.lists[i].targets {
+					number(uint64(t.id))
+				}
+			}
+		}
+	}
+	return xxh3.Hash(b)
+}
+
+// owner returns the first-ranked active balancer of a zone, or nil.
+func (v *view) owner(k bvflow.Key, zone int) *node {
+	if zone < 0 {
+		return nil
+	}
+	z := &v.zones[zone]
+	if i := bvpick.Best(k, z.active); i >= 0 {
+		return &z.nodes[i]
+	}
+	return nil
+}
+
+// placing returns the configured zone of k, and the zone whose owner decides:
+// the first one in rank that has an active balancer. Where no upstream takes
+// new flows, the base list ranks the zones. Both are -1 if there is none.
+func (v *view) placing(s *service, k bvflow.Key) (configured, placing int) {
+	configured = s.current.zone(k)
+	placing = configured
+	for placing >= 0 && len(v.zones[placing].active) == 0 {
+		placing = bvpick.Next(k, s.current.zones, placing)
+	}
+	if configured >= 0 || len(s.bases) == 0 {
+		return configured, placing
+	}
+	placing = s.bases[0].zone(k)
+	for placing >= 0 && len(v.zones[placing].active) == 0 {
+		placing = bvpick.Next(k, s.bases[0].zones, placing)
+	}
+	return configured, placing
+}
+
+// basePick returns the upstream that k has in the base list, and its zone.
+func (s *service) basePick(k bvflow.Key) (*target, int) {
+	if len(s.bases) == 0 {
+		return nil, -1
+	}
+	z := s.bases[0].zone(k)
+	return s.bases[0].upstreamIn(k, z), z
+}
+
+// exception reports whether u differs from the pick at any base in use.
+func (s *service) exception(k bvflow.Key, u bvconfig.UpstreamID) bool {
+	for i := range s.bases {
+		if t := s.bases[i].upstream(k); t == nil || t.id != u {
+			return true
+		}
+	}
+	return len(s.bases) == 0
+}
--- /dev/null
+++ b/core/bvsync/bvsync.go
@@ -0,0 +1,245 @@
+// Package bvsync brings exceptions and tombstones to the balancers that need
+// them after the group has changed.
+//
+// A [Sweeper] walks the flow table after each change and sends records to
+// nodes that newly entered a replica set, in batches under a byte budget.
+// Unacknowledged batches are sent again. A leaving node uses the same sweep
+// to push everything it holds. The package does no I/O and reads no clock.
+//
+// # Usage
+//
+//	s := bvsync.New(router, bvsync.Options{BytesPerSecond: 2000})
+//	for _, b := range s.Next(clock.Now()) {
+//		// send b.Records to b.To; on success:
+//		s.Acknowledge(b.To, b.Sequence)
+//	}
+//	if s.Complete() {
+//		// all records are where they have to be
+//	}
+package bvsync
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvroute"
+)
+
+// RecordBytes is the size of a record in a message: a key of 16 bytes and an
+// upstream of 8.
+const RecordBytes = 24
+
+// Record is one exception or tombstone.
+type Record struct {
+	Key      bvflow.Key
+	Kind     bvroute.RecordKind
+	Upstream bvconfig.UpstreamID
+}
+
+// Batch is what one peer has to store. Sequence numbers are unique for a
+// Sweeper.
+type Batch struct {
+	To       bvconfig.NodeID
+	Sequence uint64
+	Records  []Record
+}
+
+// Source is the part of [bvroute.Router] that a Sweeper reads.
+type Source interface {
+	Generation() uint64
+	Swept() uint64
+	Handovers(now time.Time, cursor uint64, work int, into []bvroute.Handover) ([]bvroute.Handover, uint64, bool)
+	HandoversTo(now time.Time, peer bvconfig.NodeID, cursor uint64, work, limit int, into []bvroute.Handover) ([]bvroute.Handover, uint64, bool)
+	SweepDone(generation uint64)
+}
+
+// Options bound the work of a Sweeper. Zero values stand for the defaults.
+type Options struct {
+	BytesPerSecond int           // Default 2,000, of the 3 KB/s for all control traffic.
+	BatchBytes     int           // Default 1,200, which fits one packet.
+	SlotsPerCall   int           // Table slots looked at in one call; default 8,192.
+	RetryAfter     time.Duration // Default 3 s.
+	MaxRetry       time.Duration // Bound of the doubling retry time; default 30 s.
+}
+
+func (o Options) withDefaults() Options {
+	return Options{
+		BytesPerSecond: cmp.Or(o.BytesPerSecond, 2000), BatchBytes: cmp.Or(o.BatchBytes, 1200),
+		SlotsPerCall: cmp.Or(o.SlotsPerCall, 8192), RetryAfter: cmp.Or(o.RetryAfter, 3*time.Second),
+		MaxRetry: cmp.Or(o.MaxRetry, 30*time.Second),
+	}
+}
+
+// Sweeper distributes records. It is not safe for concurrent use.
+type Sweeper struct {
+	source  Source
+	options Options
+
+	generation uint64 // That the sweep is for.
+	running    bool
+	cursor     uint64
+	walked     bool // The walk has reached the end of the table.
+	queue      map[bvconfig.NodeID][]Record
+	found      []bvroute.Handover
+	inFlight   []inFlight
+	sequence   uint64
+
+	budget float64 // Bytes that may be sent; negative after a batch.
+	filled time.Time
+}
+
+// inFlight is a batch without acknowledgement.
+type inFlight struct {
+	Batch
+	due   time.Time
+	retry time.Duration
+}
+
+// New returns a Sweeper that reads from source.
+func New(source Source, o Options) *Sweeper {
+	return &Sweeper{
+		source: source, options: o.withDefaults(), queue: map[bvconfig.NodeID][]Record{},
+		generation: source.Generation(),
+	}
+}
+
+// Complete reports whether every node has acknowledged what it needs.
+func (s *Sweeper) Complete() bool {
+	return !s.running && s.source.Swept() == s.source.Generation()
+}
+
+// Unacknowledged returns the number of records that have been found to be
+// needed elsewhere and that no node has acknowledged.
+func (s *Sweeper) Unacknowledged() int {
+	n := 0
+	for _, q := range s.queue {
+		n += len(q)
+	}
+	for _, b := range s.inFlight {
+		n += len(b.Records)
+	}
+	return n
+}
+
+// Next returns the batches to send now, under the byte budget. The caller
+// calls it at least once a second.
+func (s *Sweeper) Next(now time.Time) []Batch {
+	s.start()
+	s.refill(now)
+	out := s.retries(now)
+	for s.running && s.budget > 0 {
+		b, ok := s.take()
+		if !ok {
+			break
+		}
+		s.budget -= float64(len(b.Records) * RecordBytes)
+		s.inFlight = append(s.inFlight, inFlight{b, now.Add(s.options.RetryAfter), s.options.RetryAfter})
+		out = append(out, b)
+	}
+	s.walk(now)
+	s.finish()
+	return out
+}
+
+// start begins a sweep when the group has changed. A sweep that is under way
+// starts again; the source still compares with the last complete one.
+func (s *Sweeper) start() {
+	g := s.source.Generation()
+	if g == s.generation && (s.running || g == s.source.Swept()) {
+		return
+	}
+	s.generation, s.running, s.cursor, s.walked = g, true, 0, false
+	clear(s.queue)
+	s.inFlight = nil
+}
+
+func (s *Sweeper) refill(now time.Time) {
+	if !s.filled.IsZero() {
+		s.budget += now.Sub(s.filled).Seconds() * float64(s.options.BytesPerSecond)
+	}
+	s.filled = now
+	s.budget = min(s.budget, float64(max(s.options.BytesPerSecond, s.options.BatchBytes)))
+}
+
+// retries returns the batches whose acknowledgement is overdue, within the
+// budget, and doubles their retry time.
+func (s *Sweeper) retries(now time.Time) (out []Batch) {
+	for i := range s.inFlight {
+		f := &s.inFlight[i]
+		if now.Before(f.due) || s.budget <= 0 {
+			continue
+		}
+		f.retry = min(2*f.retry, s.options.MaxRetry)
+		f.due = now.Add(f.retry)
+		s.budget -= float64(len(f.Records) * RecordBytes)
+		out = append(out, f.Batch)
+	}
+	return out
+}
+
+// take removes a batch from the longest queue; ties go to the lowest node, so
+// that runs are alike.
+func (s *Sweeper) take() (Batch, bool) {
+	var to bvconfig.NodeID
+	for n, q := range s.queue {
+		if l := len(s.queue[to]); len(q) > l || len(q) == l && n < to {
+			to = n
+		}
+	}
+	q := s.queue[to]
+	if len(q) == 0 {
+		return Batch{}, false
+	}
+	n := min(len(q), max(s.options.BatchBytes/RecordBytes, 1))
+	s.sequence++
+	b := Batch{To: to, Sequence: s.sequence, Records: slices.Clone(q[:n])}
+	if s.queue[to] = q[n:]; len(q) == n {
+		delete(s.queue, to)
+	}
+	return b, true
+}
+
+// walk goes on through the table. It waits while more is queued than two
+// seconds' budget, so that the queue stays small.
+func (s *Sweeper) walk(now time.Time) {
+	limit := 2 * s.options.BytesPerSecond / RecordBytes
+	for work := s.options.SlotsPerCall; s.running && !s.walked && work > 0 && s.Unacknowledged() <= limit; {
+		step := min(work, 256)
+		work -= step
+		s.found, s.cursor, s.walked = s.source.Handovers(now, s.cursor, step, s.found[:0])
+		for _, h := range s.found {
+			for _, to := range h.To[:h.Count] {
+				s.queue[to] = append(s.queue[to], Record{h.Key, h.Kind, h.Upstream})
+			}
+		}
+	}
+}
+
+func (s *Sweeper) finish() {
+	if s.running && s.walked && s.Unacknowledged() == 0 && s.generation == s.source.Generation() {
+		s.running = false
+		s.source.SweepDone(s.generation)
+	}
+}
+
+// Acknowledge notes that a node has stored a batch.
+func (s *Sweeper) Acknowledge(from bvconfig.NodeID, sequence uint64) {
+	s.inFlight = slices.DeleteFunc(s.inFlight, func(f inFlight) bool {
+		return f.To == from && f.Sequence == sequence
+	})
+	s.finish()
+}
+
+// Answer returns the records for a joining peer from cursor on, at most bytes
+// of them. next is where the following request goes on; done marks the last
+// answer.
+func (s *Sweeper) Answer(now time.Time, peer bvconfig.NodeID, cursor uint64, bytes int) (records []Record, next uint64, done bool) {
+	found, next, done := s.source.HandoversTo(now, peer, cursor, s.options.SlotsPerCall, max(bytes/RecordBytes, 1), nil)
+	for _, h := range found {
+		records = append(records, Record{h.Key, h.Kind, h.Upstream})
+	}
+	return records, next, done
+}
