Add the platform client and the retry budget

Cause: a balancer cannot read its configuration.

Change: bvplatform reads and watches a group's manifest and parts at several replicas; bvretry holds the jittered backoff and the retry budget.

Ruled out: starting the retry budget empty, because a process could then not try its third replica when it starts.

--- /dev/null
+++ b/io/bvplatform/bvplatform_test.go
@@ -0,0 +1,230 @@
+package bvplatform
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// replica is a stand-in for one replica of the platform.
+type replica struct {
+	mu       sync.Mutex
+	revision uint64
+	values   map[string]string
+	reads    map[string]int
+	watches  int
+	silent   bool
+	changed  chan struct{}
+	called   chan struct{}
+}
+
+func newReplica(t *testing.T) (*replica, netip.AddrPort) {
+	r := &replica{
+		values: map[string]string{}, reads: map[string]int{},
+		changed: make(chan struct{}), called: make(chan struct{}, 100),
+	}
+	s := httptest.NewServer(r)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return r, netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func (r *replica) publish(revision uint64, parts ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []string
+	for _, p := range parts {
+		sum := sha256.Sum256([]byte(p))
+		h := hex.EncodeToString(sum[:])
+		r.values["groups/g/parts/"+h] = p
+		list = append(list, fmt.Sprintf(`{"key":"groups/g/parts/%s","sha256":"%s","size":%d}`, h, h, len(p)))
+	}
+	r.values["groups/g/manifest"] = fmt.Sprintf(`{"group":"g","revision":%d,"parts":[%s]}`, revision, strings.Join(list, ","))
+	r.revision = revision
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *replica) setSilent(v bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = v
+}
+
+func (r *replica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	key := strings.TrimPrefix(req.URL.Path, "/v1/values/")
+	r.mu.Lock()
+	r.reads[key]++
+	silent, changed, isWatch := r.silent, r.changed, req.URL.Query().Has("waitSeconds")
+	newer := req.URL.Query().Get("afterRevision") != fmt.Sprint(r.revision)
+	r.mu.Unlock()
+	r.called <- struct{}{}
+	switch {
+	case silent:
+		<-req.Context().Done()
+		return
+	case isWatch && !newer:
+		select {
+		case <-req.Context().Done():
+			return
+		case <-changed:
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v, ok := r.values[key]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Platform-Revision", fmt.Sprint(r.revision))
+	_, _ = w.Write([]byte(v))
+}
+
+func (r *replica) partReads(part string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := sha256.Sum256([]byte(part))
+	return r.reads["groups/g/parts/"+hex.EncodeToString(sum[:])]
+}
+
+// TestRead guards against parts that are read again although unchanged, and
+// against an absent value that looks like an empty one.
+func TestRead(t *testing.T) {
+	r, addr := newReplica(t)
+	c := New([]netip.AddrPort{addr}, "g", clockwork.NewFakeClock(), Options{})
+	_, err := c.Read(t.Context())
+	require.ErrorIs(t, err, ErrAbsent)
+	r.publish(1, "a", "b")
+	b, err := c.Read(t.Context())
+	require.NoError(t, err)
+	assert.Len(t, b.Parts, 2)
+	r.publish(2, "a", "c")
+	b, err = c.Read(t.Context())
+	require.NoError(t, err)
+	assert.Contains(t, string(b.Manifest), `"revision":2`)
+	assert.Equal(t, 1, r.partReads("a"))
+	assert.Equal(t, 1, r.partReads("c"))
+	_, err = c.VMs(t.Context())
+	assert.ErrorIs(t, err, ErrAbsent)
+}
+
+// TestReadBadValues guards against parts that do not match the manifest and
+// against values without bound.
+func TestReadBadValues(t *testing.T) {
+	r, addr := newReplica(t)
+	c := New([]netip.AddrPort{addr}, "g", clockwork.NewFakeClock(), Options{})
+	r.publish(1, "a")
+	for k := range r.values {
+		if strings.Contains(k, "/parts/") {
+			r.values[k] = "x"
+		}
+	}
+	_, err := c.Read(t.Context())
+	require.ErrorIs(t, err, ErrHash)
+	r.values["groups/g/manifest"] = strings.Repeat("x", MaxValue+1)
+	_, err = c.Read(t.Context())
+	require.ErrorIs(t, err, ErrOversized)
+	r.values["groups/g/manifest"] = "{"
+	_, err = c.Read(t.Context())
+	require.ErrorIs(t, err, ErrManifest)
+}
+
+// TestStaleAndAbsentReplica guards against a configuration that reverts
+// because one replica is behind, and against an outage because one is gone.
+func TestStaleAndAbsentReplica(t *testing.T) {
+	fresh, a := newReplica(t)
+	stale, b := newReplica(t)
+	gone := httptest.NewServer(http.NotFoundHandler())
+	g := netip.MustParseAddrPort(strings.TrimPrefix(gone.URL, "http://"))
+	gone.Close()
+	fresh.publish(5, "new")
+	stale.publish(4, "old")
+	clock := clockwork.NewFakeClock()
+	for seed := range uint64(6) {
+		c := New([]netip.AddrPort{g, b, a}, "g", clock, Options{Seed: seed})
+		c.sawRevision(5)
+		for range 3 {
+			clock.Advance(time.Minute) // Refills the retry budget.
+			got, err := c.Read(t.Context())
+			require.NoError(t, err)
+			assert.Contains(t, string(got.Manifest), `"revision":5`)
+		}
+	}
+}
+
+// TestSilentRead guards against a read that never returns.
+func TestSilentRead(t *testing.T) {
+	r, addr := newReplica(t)
+	r.publish(1, "a")
+	r.setSilent(true)
+	clock := clockwork.NewFakeClock()
+	c := New([]netip.AddrPort{addr}, "g", clock, Options{})
+	done := make(chan error)
+	go func() { _, err := c.Read(t.Context()); done <- err }()
+	<-r.called
+	clock.Advance(3 * time.Second)
+	require.ErrorIs(t, <-done, context.DeadlineExceeded)
+	r.setSilent(false)
+	_, err := c.Read(t.Context())
+	require.NoError(t, err)
+}
+
+// TestWatch guards against a watch that misses a change, hangs on a silent
+// connection, or does not come back after it.
+func TestWatch(t *testing.T) {
+	r, addr := newReplica(t)
+	r.publish(1, "a")
+	clock := clockwork.NewFakeClock()
+	c := New([]netip.AddrPort{addr}, "g", clock, Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	updates := make(chan Update, 10)
+	done := make(chan error)
+	go func() { done <- c.Watch(ctx, func(u Update) { updates <- u }) }()
+	u := <-updates
+	require.NoError(t, u.Err)
+	assert.Contains(t, string(u.Bundle.Manifest), `"revision":1`)
+	r.publish(2, "b")
+	u = <-updates
+	require.NoError(t, u.Err)
+	assert.Contains(t, string(u.Bundle.Manifest), `"revision":2`)
+
+	for len(r.called) > 0 {
+		<-r.called
+	}
+	r.setSilent(true)
+	r.publish(3, "c") // Ends the wait; the reads of the part stay silent.
+	var failure error
+	for failure == nil {
+		<-r.called
+		clock.Advance(40 * time.Second)
+		select {
+		case u = <-updates:
+			failure = u.Err
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	require.Error(t, failure)
+	r.setSilent(false)
+	for {
+		require.NoError(t, clock.BlockUntilContext(ctx, 1))
+		clock.Advance(40 * time.Second)
+		if u = <-updates; u.Err == nil {
+			break
+		}
+	}
+	assert.Contains(t, string(u.Bundle.Manifest), `"revision":3`)
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+}
--- /dev/null
+++ b/io/bvplatform/watch.go
@@ -0,0 +1,155 @@
+package bvplatform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"balsamvane/io/bvretry"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+)
+
+// revisionHeader gives the platform's revision of a value. It is not the
+// revision in the manifest: it also grows when operators publish the same
+// manifest revision twice.
+const revisionHeader = "Platform-Revision"
+
+var errNotModified = errors.New("bvplatform: value has not changed")
+
+// value is an answer of a replica.
+type value struct {
+	body     []byte
+	revision uint64
+	from     netip.AddrPort
+}
+
+// wait asks a replica to hold its answer until the value is newer.
+type wait struct {
+	after   uint64
+	seconds int
+}
+
+// get makes one bounded call. A call that is cut off takes its HTTP/1.1
+// connection with it, so that the next one uses a new connection.
+func (c *Client) get(ctx context.Context, at netip.AddrPort, key string, w wait) (value, error) {
+	limit := c.options.ReadTimeout
+	u := url.URL{Scheme: "http", Host: at.String(), Path: "/v1/values/" + key}
+	if w.seconds > 0 {
+		limit = time.Duration(w.seconds)*time.Second + c.options.WatchMargin
+		u.RawQuery = fmt.Sprintf("afterRevision=%d&waitSeconds=%d", w.after, w.seconds)
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, c.clock, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return value{}, eris.Wrap(err, "bvplatform: building request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return value{}, eris.Wrapf(err, "bvplatform: reading %s", key)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	v, err := readAnswer(resp, key)
+	v.from = at
+	return v, err
+}
+
+func readAnswer(resp *http.Response, key string) (value, error) {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return value{}, errNotModified
+	case http.StatusNotFound:
+		return value{}, eris.Wrapf(ErrAbsent, "reading %s", key)
+	default:
+		return value{}, eris.Wrapf(ErrAnswer, "status %d for %s", resp.StatusCode, key)
+	}
+	revision, err := strconv.ParseUint(resp.Header.Get(revisionHeader), 10, 64)
+	if err != nil {
+		return value{}, eris.Wrapf(ErrAnswer, "no %s for %s", revisionHeader, key)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxValue+1))
+	if err != nil {
+		return value{}, eris.Wrapf(err, "bvplatform: reading %s", key)
+	}
+	if len(body) > MaxValue {
+		return value{}, eris.Wrapf(ErrOversized, "reading %s", key)
+	}
+	return value{body: body, revision: revision}, nil
+}
+
+// Update is what a watch reports.
+type Update struct {
+	// Bundle is the new configuration; its Manifest is nil if nothing has
+	// changed or the watch failed.
+	Bundle Bundle
+	// Err is the failure of this round, or nil if the platform answered.
+	Err error
+}
+
+// Watch waits for changes until ctx ends and reports each round to sink: a new
+// configuration, no change, or a failure. It returns the error of ctx.
+func (c *Client) Watch(ctx context.Context, sink func(Update)) error {
+	backoff := bvretry.NewBackoff(c.options.FirstDelay, c.options.MostDelay, c.options.Seed)
+	after := uint64(0)
+	for ctx.Err() == nil {
+		b, revision, err := c.watchOnce(ctx, after)
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil {
+			after = max(after, revision)
+			backoff.Reset()
+			sink(Update{Bundle: b})
+			continue
+		}
+		sink(Update{Err: err})
+		c.failed()
+		c.transport.CloseIdleConnections()
+		if err := c.sleep(ctx, backoff.Next()); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
+
+// watchOnce makes one long poll. Its result has no manifest if nothing is
+// newer than after.
+func (c *Client) watchOnce(ctx context.Context, after uint64) (Bundle, uint64, error) {
+	if len(c.addresses) == 0 {
+		return Bundle{}, 0, ErrAddresses
+	}
+	w := wait{after: after, seconds: max(int(c.options.WatchWait/time.Second), 1)}
+	v, err := c.get(ctx, c.replica(), c.manifestKey(), w)
+	if errors.Is(err, errNotModified) {
+		return Bundle{}, after, nil
+	}
+	if err != nil {
+		return Bundle{}, 0, err
+	}
+	if v.revision <= after {
+		// A stale replica answers at once; without an error here the watch
+		// would call it in a tight loop.
+		return Bundle{}, 0, eris.Wrapf(ErrAnswer, "revision %d is not after %d", v.revision, after)
+	}
+	c.sawRevision(v.revision)
+	b, err := c.bundle(ctx, v.body)
+	return b, v.revision, err
+}
+
+func (c *Client) sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.clock.After(d):
+		return nil
+	}
+}
