Add the test stand-ins and the bvstandin command

Change: one package under standin/ for each of platform, fabric, upstream, caller, relay, register and publication, the shared wire code, and the command cmd/bvstandin with a subcommand for each.

Result: before, nothing could drive a balancer.

Ruled out: the kernel's TCP for the inner connections, because it needs a tunnel device; out-of-order reassembly, because go-back-N suffices here.

--- /dev/null
+++ b/cmd/bvstandin/flags.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"net/netip"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+)
+
+// addressValue is a flag of the form ip:port.
+type addressValue struct{ address *netip.AddrPort }
+
+func (v addressValue) String() string {
+	if v.address == nil || !v.address.IsValid() {
+		return ""
+	}
+	return v.address.String()
+}
+
+func (v addressValue) Set(s string) error {
+	a, err := netip.ParseAddrPort(s)
+	if err != nil {
+		return eris.Wrap(err, "bvstandin: address")
+	}
+	*v.address = a
+	return nil
+}
+
+func (addressValue) Type() string { return "ip:port" }
+
+// address adds a required flag of the form ip:port.
+func address(c *cobra.Command, a *netip.AddrPort, name, usage string) {
+	c.Flags().Var(addressValue{a}, name, usage)
+	required(c, name)
+}
+
+// required marks flags that must be given.
+func required(c *cobra.Command, names ...string) {
+	for _, n := range names {
+		if err := c.MarkFlagRequired(n); err != nil {
+			panic(err) // The flag does not exist: an error in this program.
+		}
+	}
+}
+
+// addressList parses ip:port,ip:port.
+func addressList(s string) ([]netip.AddrPort, error) {
+	var l []netip.AddrPort
+	for _, text := range strings.Split(s, ",") {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, eris.Wrap(err, "bvstandin: address")
+		}
+		l = append(l, a)
+	}
+	return l, nil
+}
+
+var _ pflag.Value = addressValue{}
--- /dev/null
+++ b/standin/bvstandcaller/report.go
@@ -0,0 +1,227 @@
+package bvstandcaller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"balsamvane/standin/bvstandupstream"
+	"balsamvane/standin/bvwire"
+
+	"github.com/rotisserie/eris"
+)
+
+// countsTimeout bounds one read of an upstream's counts.
+const countsTimeout = 2 * time.Second
+
+// Summary is the line that a run prints.
+type Summary struct {
+	Requests      int `json:"requests"`
+	Whole         int `json:"whole"`
+	WrongService  int `json:"wrongService"`
+	Refused       int `json:"refused"`
+	FalseRefusals int `json:"falseRefusals"` // Refused, yet run by an upstream.
+	RanTwice      int `json:"ranTwice"`      // IDs run more than once.
+	BrokenFeeds   int `json:"brokenFeeds"`
+	GivenUp       int `json:"givenUp"`
+	// ZoneQuietMillis is the time from the publication of a zone out of
+	// service to the last packet that its upstreams received.
+	ZoneQuietMillis *int64 `json:"zoneQuietMs,omitempty"`
+}
+
+// Report is a summary with details.
+type Report struct {
+	Summary
+	RefusedWarm   int            `json:"refusedAfterWarmUp"`
+	Feeds         int            `json:"feeds"`
+	FeedsWhole    int            `json:"feedsWhole"`
+	Moved         int            `json:"moved"` // Flows that two upstreams answered.
+	ServedSeconds float64        `json:"servedSeconds"`
+	Outcomes      map[string]int `json:"outcomes"`
+	// Failed names the first failed requests and their outcomes.
+	Failed []string `json:"failed,omitempty"`
+	// Opened is the number of new flows of each upstream, Overloads that of
+	// upstreams that fell over.
+	Opened        map[string]int `json:"opened"`
+	Overloads     int            `json:"overloads"`
+	MissingCounts []string       `json:"missingCounts,omitempty"`
+}
+
+// maxFailed bounds Report.Failed.
+const maxFailed = 20
+
+// report counts the outcomes so far.
+func (c *Caller) report(now time.Time) Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := Report{Outcomes: map[string]int{}, Opened: map[string]int{}}
+	r.ServedSeconds = min(now.Sub(c.startedAt), c.options.Duration).Seconds()
+	for _, f := range c.all {
+		r.Requests++
+		r.Outcomes[outcomeNames[f.outcome]]++
+		if f.moved {
+			r.Moved++
+		}
+		if f.verb == bvwire.VerbFeed {
+			r.Feeds++
+		}
+		r.count(f, f.opened.Sub(c.startedAt) > c.options.WarmUp)
+		if f.outcome != outcomeOpen && f.outcome != outcomeWhole && len(r.Failed) < maxFailed {
+			r.Failed = append(r.Failed, fmt.Sprintf("%s %s at %v after %v ms from %v",
+				f.id, outcomeNames[f.outcome], f.location, f.opened.Sub(c.startedAt).Milliseconds(), f.source))
+		}
+	}
+	return r
+}
+
+func (r *Report) count(f *flow, warm bool) {
+	feed := f.verb == bvwire.VerbFeed
+	switch f.outcome {
+	case outcomeWhole:
+		r.Whole++
+		if feed {
+			r.FeedsWhole++
+		}
+	case outcomeWrongService:
+		r.WrongService++
+	case outcomeRefused:
+		r.Refused++
+		if warm {
+			r.RefusedWarm++
+		}
+	case outcomeGivenUp:
+		r.GivenUp++
+	case outcomeReset, outcomeTimedOut, outcomeSilent, outcomeCorrupt:
+		if feed {
+			r.BrokenFeeds++
+		}
+	}
+}
+
+// audit compares the outcomes with what the upstreams ran.
+func (c *Caller) audit(r *Report) {
+	ran := map[string]int{}
+	for _, n := range c.collect(r) {
+		for id, times := range n.Ran {
+			ran[id] += times
+		}
+		r.Opened[n.Name] = n.Opened
+		r.Overloads += n.Overloads
+	}
+	for _, times := range ran {
+		if times > 1 {
+			r.RanTwice++
+		}
+	}
+	for _, f := range c.all {
+		if f.outcome == outcomeRefused && ran[f.id] > 0 {
+			r.FalseRefusals++
+		}
+	}
+}
+
+// collect reads the counts of all upstreams: those that run over HTTP, those
+// that have stopped from their files.
+func (c *Caller) collect(r *Report) []bvstandupstream.Counts {
+	var l []bvstandupstream.Counts
+	stopped := map[netip.AddrPort]bool{}
+	files, _ := filepath.Glob(filepath.Join(c.options.CountsDir, "*.json"))
+	for _, path := range files {
+		var n bvstandupstream.Counts
+		b, err := os.ReadFile(path)
+		if err == nil {
+			err = json.Unmarshal(b, &n)
+		}
+		if err != nil {
+			r.MissingCounts = append(r.MissingCounts, path)
+			continue
+		}
+		l = append(l, n)
+		stopped[n.Health] = true
+	}
+	for _, a := range c.traffic.Upstreams {
+		if stopped[a] {
+			continue
+		}
+		n, err := ReadCounts(a)
+		if err != nil {
+			r.MissingCounts = append(r.MissingCounts, a.String())
+			continue
+		}
+		l = append(l, n)
+	}
+	return l
+}
+
+// ReadCounts reads an upstream's counts over HTTP.
+func ReadCounts(health netip.AddrPort) (bvstandupstream.Counts, error) {
+	var n bvstandupstream.Counts
+	client := http.Client{Timeout: countsTimeout}
+	resp, err := client.Get("http://" + health.String() + "/counts")
+	if err != nil {
+		return n, eris.Wrap(err, "bvstandcaller: counts")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return n, eris.Wrap(json.NewDecoder(resp.Body).Decode(&n), "bvstandcaller: counts")
+}
+
+func (c *Caller) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /zone", c.serveZone)
+	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) {
+		// The reader has gone if this fails.
+		_ = json.NewEncoder(w).Encode(c.report(c.clock.Now()))
+	})
+	mux.HandleFunc("GET /reached", func(w http.ResponseWriter, r *http.Request) {
+		whole, _ := strconv.Atoi(r.FormValue("whole"))
+		feeds, _ := strconv.Atoi(r.FormValue("feeds"))
+		if p := c.report(c.clock.Now()); p.Whole < whole || c.openFeeds() < feeds {
+			http.Error(w, "not reached", http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (c *Caller) openFeeds() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, f := range c.flows {
+		if f.verb == bvwire.VerbFeed && f.messages > 0 && f.outcome == outcomeOpen {
+			n++
+		}
+	}
+	return n
+}
+
+// serveZone notes that the upstreams with the given health addresses are in a
+// zone that is taken out, or that comes back.
+func (c *Caller) serveZone(w http.ResponseWriter, r *http.Request) {
+	now := c.clock.Now()
+	for _, text := range strings.Split(r.FormValue("health"), ",") {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		n, err := ReadCounts(a)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		c.mu.Lock()
+		switch o := c.zones[n.Tunnel]; {
+		case r.FormValue("state") == "out":
+			c.zones[n.Tunnel] = &outage{from: now}
+		case o != nil:
+			o.to = now
+		}
+		c.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/standin/bvstandcaller/verdict.go
@@ -0,0 +1,48 @@
+package bvstandcaller
+
+import "fmt"
+
+// What a demonstration must have served to prove anything, and the share of
+// refusals that a fault may cause.
+const (
+	minRequests       = 300
+	minFeeds          = 20
+	minServedSeconds  = 15
+	refusedPerHundred = 2
+)
+
+// FaultZone is the only fault that may give flows up.
+const FaultZone = "zone"
+
+// Verdict returns what contradicts the promises in a run with the given
+// fault; fault is empty for a plain run. An empty result is a pass.
+func (r Report) Verdict(fault string) []string {
+	var l []string
+	fail := func(bad bool, format string, values ...any) {
+		if bad {
+			l = append(l, fmt.Sprintf(format, values...))
+		}
+	}
+	served := r.Whole + r.Refused + r.GivenUp
+	fail(served != r.Requests, "%d requests, but %d are whole, refused or given up", r.Requests, served)
+	fail(r.Whole < minRequests, "%d whole requests, want at least %d", r.Whole, minRequests)
+	fail(r.Feeds < minFeeds, "%d feeds, want at least %d", r.Feeds, minFeeds)
+	fail(r.ServedSeconds < minServedSeconds, "served for %.1f s, want at least %d s", r.ServedSeconds, minServedSeconds)
+	fail(r.WrongService > 0, "%d answers of a wrong service", r.WrongService)
+	fail(r.FalseRefusals > 0, "%d refused requests were run", r.FalseRefusals)
+	fail(r.RanTwice > 0, "%d requests were run more than once", r.RanTwice)
+	fail(r.BrokenFeeds > 0, "%d broken feeds", r.BrokenFeeds)
+	fail(len(r.MissingCounts) > 0, "no counts of %v", r.MissingCounts)
+	if fault != FaultZone {
+		fail(r.GivenUp > 0, "%d given up without a zone taken out", r.GivenUp)
+		fail(r.FeedsWhole != r.Feeds, "%d of %d feeds are whole", r.FeedsWhole, r.Feeds)
+	} else {
+		fail(r.ZoneQuietMillis == nil, "the zone's last packet was not measured")
+	}
+	allowed := 0
+	if fault != "" {
+		allowed = r.Requests * refusedPerHundred / 100
+	}
+	fail(r.RefusedWarm > allowed, "%d refused after the warm-up, allowed are %d", r.RefusedWarm, allowed)
+	return l
+}
--- /dev/null
+++ b/standin/bvstandplatform/bvstandplatform.go
@@ -0,0 +1,257 @@
+// Package bvstandplatform stands in for the platform's configuration service.
+// It serves the files of a directory; a value's key is the file's relative
+// path and its revision rises whenever the content changes.
+//
+// # Usage
+//
+//	p := bvstandplatform.New(options, clockwork.NewRealClock())
+//	err := p.Run(ctx)
+//
+// Values: GET /v1/values/{key}?afterRevision=N&waitSeconds=S answers with the
+// value and the header Platform-Revision, with 304 if the revision is still N
+// after S seconds, and with 404 for an unknown key.
+//
+// Control, on a port of its own: POST /mode?mode=M with M normal, stale
+// (answers the values of the time at which the mode was set), slow (each
+// answer is delayed), silent (connections stay open without an answer) or
+// absent (connections are closed); GET /counts.
+package bvstandplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io/fs"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	pollInterval   = 50 * time.Millisecond
+	maxWaitSeconds = 60
+)
+
+// The modes.
+const (
+	ModeNormal = "normal"
+	ModeStale  = "stale"
+	ModeSlow   = "slow"
+	ModeSilent = "silent"
+	ModeAbsent = "absent"
+)
+
+// Options describe the platform.
+type Options struct {
+	Directory string
+	Listen    netip.AddrPort
+	Control   netip.AddrPort
+	Delay     time.Duration // Of each answer in mode slow.
+}
+
+// Counts is the content of /counts. A waiting watch is one call.
+type Counts struct {
+	Mode  string         `json:"mode"`
+	Calls uint64         `json:"calls"`
+	ByKey map[string]int `json:"byKey"`
+	// Waiting is the number of calls without an answer so far.
+	Waiting int `json:"waiting"`
+}
+
+type value struct {
+	revision uint64
+	content  []byte
+}
+
+// Platform is a running stand-in.
+type Platform struct {
+	options Options
+	clock   clockwork.Clock
+
+	mu      sync.Mutex
+	counts  Counts
+	values  map[string]value
+	frozen  map[string]value // What mode stale answers.
+	changed chan struct{}    // Closed and replaced when a value or the mode changes.
+}
+
+// New returns a platform in mode normal; Run reads the directory.
+func New(o Options, clock clockwork.Clock) *Platform {
+	return &Platform{
+		options: o, clock: clock, values: map[string]value{}, changed: make(chan struct{}),
+		counts: Counts{Mode: ModeNormal, ByKey: map[string]int{}},
+	}
+}
+
+// Run serves until ctx ends.
+func (p *Platform) Run(ctx context.Context) error {
+	if err := p.poll(); err != nil {
+		return err
+	}
+	var wg conc.WaitGroup
+	for a, h := range map[netip.AddrPort]http.Handler{p.options.Listen: p.Values(), p.options.Control: p.Control()} {
+		l, err := net.Listen("tcp", a.String())
+		if err != nil {
+			return eris.Wrap(err, "bvstandplatform: listen")
+		}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+		wg.Go(func() { _ = s.Serve(l) })
+		defer func() { _ = s.Close() }()
+	}
+	ticker := p.clock.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			// A file that vanishes during the walk is seen at the next poll.
+			_ = p.poll()
+		}
+	}
+}
+
+// poll reads the directory and raises the revision of changed values.
+func (p *Platform) poll() error {
+	found := map[string][]byte{}
+	err := filepath.WalkDir(p.options.Directory, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		key, err := filepath.Rel(p.options.Directory, path)
+		if err != nil {
+			return err
+		}
+		found[filepath.ToSlash(key)], err = os.ReadFile(path)
+		return err
+	})
+	if err != nil {
+		return eris.Wrap(err, "bvstandplatform: directory")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := false
+	for key, content := range found {
+		if v, ok := p.values[key]; !ok || !bytes.Equal(v.content, content) {
+			p.values[key] = value{revision: v.revision + 1, content: content}
+			changed = true
+		}
+	}
+	if changed {
+		p.wake()
+	}
+	return nil
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Values returns the handler of the readers' port.
+func (p *Platform) Values() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/values/{key...}", p.serve)
+	return mux
+}
+
+// Control returns the handler of the control port.
+func (p *Platform) Control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /mode", func(w http.ResponseWriter, r *http.Request) {
+		if !p.setMode(r.FormValue("mode")) {
+			http.Error(w, "unknown mode", http.StatusBadRequest)
+		}
+	})
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		// The reader has gone if this fails.
+		_ = json.NewEncoder(w).Encode(p.counts)
+	})
+	return mux
+}
+
+func (p *Platform) setMode(mode string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch mode {
+	case ModeStale:
+		p.frozen = maps.Clone(p.values)
+	case ModeNormal, ModeSlow, ModeSilent, ModeAbsent:
+	default:
+		return false
+	}
+	p.counts.Mode = mode
+	p.wake()
+	return true
+}
+
+func (p *Platform) serve(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	after, _ := strconv.ParseUint(r.FormValue("afterRevision"), 10, 64)
+	seconds, _ := strconv.Atoi(r.FormValue("waitSeconds"))
+	p.mu.Lock()
+	p.counts.Calls++
+	p.counts.ByKey[key]++
+	p.counts.Waiting++
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		p.counts.Waiting--
+		p.mu.Unlock()
+	}()
+	timeout := p.clock.After(time.Duration(min(seconds, maxWaitSeconds)) * time.Second)
+	for {
+		p.mu.Lock()
+		mode, changed := p.counts.Mode, p.changed
+		values := p.values
+		if mode == ModeStale {
+			values = p.frozen
+		}
+		v, ok := values[key]
+		p.mu.Unlock()
+		switch {
+		case mode == ModeAbsent:
+			panic(http.ErrAbortHandler) // net/http closes the connection.
+		case mode == ModeSilent:
+			// A change of the mode does not bring a silent connection back.
+			<-r.Context().Done()
+			return
+		case !ok:
+			http.NotFound(w, r)
+			return
+		case v.revision > after:
+			p.answer(w, mode, v)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			w.Header().Set("Platform-Revision", strconv.FormatUint(v.revision, 10))
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) answer(w http.ResponseWriter, mode string, v value) {
+	if mode == ModeSlow {
+		p.clock.Sleep(p.options.Delay)
+	}
+	w.Header().Set("Platform-Revision", strconv.FormatUint(v.revision, 10))
+	// The reader has gone if this fails.
+	_, _ = w.Write(v.content)
+}
--- /dev/null
+++ b/standin/bvstandpublish/bvstandpublish.go
@@ -0,0 +1,157 @@
+// Package bvstandpublish writes a configuration into the directory of the
+// platform stand-in, in the published format: parts under content-addressed
+// keys, a manifest that names them, and the list of VMs.
+//
+// # Usage
+//
+//	err := bvstandpublish.Publish(dir, "serena", 2, fragment, bvstandpublish.Change{OutZones: []string{"a"}})
+//
+// A fragment is the JSON object of the design page, section 8.
+package bvstandpublish
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// Fragment is a configuration in its published form. Only the fields that a
+// [Change] touches are interpreted.
+type Fragment struct {
+	HashSeed  *uint64          `json:"hashSeed,omitempty"`
+	Zones     []map[string]any `json:"zones,omitempty"`
+	Services  []map[string]any `json:"services,omitempty"`
+	Upstreams []map[string]any `json:"upstreams,omitempty"`
+	Balancers []map[string]any `json:"balancers,omitempty"`
+}
+
+// Change is what an operator alters.
+type Change struct {
+	OutZones []string   // Zones out of service; all others are in service.
+	Leaving  []string   // VMs that leave.
+	Removed  []string   // VMs that the configuration no longer lists.
+	Added    []Fragment // Entries to add.
+}
+
+type manifest struct {
+	Group    string `json:"group"`
+	Revision uint64 `json:"revision"`
+	Parts    []part `json:"parts"`
+}
+
+type part struct {
+	Key    string `json:"key"`
+	SHA256 string `json:"sha256"`
+	Size   int    `json:"size"`
+}
+
+type vm struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+}
+
+// Apply returns the fragment as it is after the change.
+func (f Fragment) Apply(c Change) Fragment {
+	for _, a := range c.Added {
+		f.Zones = slices.Concat(f.Zones, a.Zones)
+		f.Services = slices.Concat(f.Services, a.Services)
+		f.Upstreams = slices.Concat(f.Upstreams, a.Upstreams)
+		f.Balancers = slices.Concat(f.Balancers, a.Balancers)
+	}
+	for _, z := range f.Zones {
+		z["outOfService"] = names(c.OutZones, z)
+	}
+	removed := func(v map[string]any) bool { return names(c.Removed, v) }
+	f.Upstreams = slices.DeleteFunc(slices.Clone(f.Upstreams), removed)
+	f.Balancers = slices.DeleteFunc(slices.Clone(f.Balancers), removed)
+	for _, v := range slices.Concat(f.Upstreams, f.Balancers) {
+		if names(c.Leaving, v) {
+			v["leaving"] = true
+		}
+	}
+	return f
+}
+
+func names(l []string, v map[string]any) bool {
+	name, _ := v["name"].(string)
+	return slices.Contains(l, name)
+}
+
+// Publish writes the changed fragment as a part for each list, then the VM
+// list, and the manifest last.
+func Publish(dir, group string, revision uint64, f Fragment, c Change) error {
+	f = f.Apply(c)
+	m := manifest{Group: group, Revision: revision}
+	base := filepath.Join(dir, "groups", group)
+	for _, p := range []Fragment{
+		{HashSeed: f.HashSeed, Zones: f.Zones, Services: f.Services},
+		{Upstreams: f.Upstreams},
+		{Balancers: f.Balancers},
+	} {
+		b, err := json.Marshal(p)
+		if err != nil {
+			return eris.Wrap(err, "bvstandpublish: part")
+		}
+		digest := sha256.Sum256(b)
+		name := hex.EncodeToString(digest[:])
+		m.Parts = append(m.Parts, part{Key: "groups/" + group + "/parts/" + name, SHA256: name, Size: len(b)})
+		if err := replaceFile(dir, filepath.Join(base, "parts", name), b); err != nil {
+			return err
+		}
+	}
+	for path, v := range map[string]any{"vms": map[string]any{"vms": f.vms(c)}} {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return eris.Wrap(err, "bvstandpublish: "+path)
+		}
+		if err := replaceFile(dir, filepath.Join(base, path), b); err != nil {
+			return err
+		}
+	}
+	b, err := json.Marshal(m)
+	if err != nil {
+		return eris.Wrap(err, "bvstandpublish: manifest")
+	}
+	return replaceFile(dir, filepath.Join(base, "manifest"), b)
+}
+
+func (f Fragment) vms(c Change) []vm {
+	l := []vm{}
+	for _, v := range slices.Concat(f.Upstreams, f.Balancers) {
+		name, _ := v["name"].(string)
+		state := "live"
+		if leaving, _ := v["leaving"].(bool); leaving {
+			state = "leaving"
+		}
+		l = append(l, vm{Name: name, State: state})
+	}
+	for _, name := range c.Removed {
+		l = append(l, vm{Name: name, State: "gone"})
+	}
+	return l
+}
+
+// replaceFile writes a file in one step. The new content is written outside
+// of dir first, where the platform does not take it for a value.
+func replaceFile(dir, path string, b []byte) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return eris.Wrap(err, "bvstandpublish: directory")
+	}
+	t, err := os.CreateTemp(filepath.Dir(filepath.Clean(dir)), "publish-")
+	if err != nil {
+		return eris.Wrap(err, "bvstandpublish: write")
+	}
+	_, err = t.Write(b)
+	if err2 := t.Close(); err == nil {
+		err = err2
+	}
+	if err == nil {
+		err = os.Rename(t.Name(), path)
+	}
+	return eris.Wrap(err, "bvstandpublish: write")
+}
--- /dev/null
+++ b/standin/bvstandrelay/bvstandrelay.go
@@ -0,0 +1,73 @@
+// Package bvstandrelay is a bare UDP relay, the baseline for a balancer's
+// throughput, and a packet generator that measures packets per second through
+// an address.
+//
+// # Usage
+//
+//	err := bvstandrelay.Relay(ctx, bvstandrelay.Options{Listen: a, To: b})
+//	result, err := bvstandrelay.Blast(ctx, options, clockwork.NewRealClock())
+//
+// With routes, the relay takes the place of a balancer in tests of the other
+// stand-ins: it picks the upstream by the destination inside the packet and
+// sets the service's VNI.
+package bvstandrelay
+
+import (
+	"context"
+	"encoding/binary"
+	"net/netip"
+
+	"balsamvane/standin/bvwire"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+)
+
+// Options describe a relay.
+type Options struct {
+	Listen netip.AddrPort
+	To     netip.AddrPort
+	// Routes replaces To if it is not empty.
+	Routes map[netip.AddrPort]Route
+}
+
+// Route is where the relay sends packets for a service address.
+type Route struct {
+	VNI uint32
+	To  netip.AddrPort
+}
+
+// Relay passes packets until ctx ends.
+func Relay(ctx context.Context, o Options) error {
+	c, err := bvwire.Listen(o.Listen)
+	if err != nil {
+		return err
+	}
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wg.Go(func() { <-ctx.Done(); _ = c.Close() })
+	b := make([]byte, 65536)
+	for {
+		n, _, err := c.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return eris.Wrap(err, "bvstandrelay: receive")
+		}
+		to := o.To
+		if len(o.Routes) > 0 {
+			_, s, err := bvwire.Decode(b[:n])
+			r, ok := o.Routes[s.Destination]
+			if err != nil || !ok {
+				continue
+			}
+			binary.BigEndian.PutUint32(b[4:8], r.VNI<<8)
+			to = r.To
+		}
+		// A lost packet is retransmitted by the caller.
+		_, _ = c.WriteToUDPAddrPort(b[:n], to)
+	}
+}
