Import registers and rules into group configurations

Operators need to turn a register export and a few rules into what the platform publishes. bvregister reads both with positions, reports all mistakes at once, and gives the same bytes and revision for the same input.

Before: no import.

Ruled out: decoding YAML into structs, which loses the columns of unknown keys; importing the usable part of a register with mistakes, which could take VMs out unnoticed.

--- /dev/null
+++ b/core/bvregister/build.go
@@ -0,0 +1,344 @@
+package bvregister
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"strconv"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvfinding"
+	"balsamvane/core/bvflow"
+)
+
+// builder collects the configurations of all groups from the rows.
+type builder struct {
+	file     string
+	rules    rules
+	list     *bvfinding.List
+	groups   map[string]*bvconfig.Config
+	services map[string]*service
+	vms      map[string]*vm
+	zones    map[string]*zone
+	// tunnels and addresses tell who has an address already.
+	tunnels   map[netip.AddrPort]string
+	addresses map[serviceAddress]string
+	vnis      map[uint32]string
+	zonesOut  map[string]placed
+	leaving   map[string]placed
+}
+
+type serviceAddress struct {
+	address  netip.AddrPort
+	protocol bvflow.Protocol
+}
+
+// service is a service while it is being collected.
+type service struct {
+	bvconfig.Service
+	group string
+	place bvfinding.Place
+	rules serviceRules
+	// upstreams counts the VMs; taking counts those that get new flows.
+	upstreams, taking int
+	// lastRule is the last rule that keeps a VM from getting new flows.
+	lastRule bvfinding.Place
+}
+
+type vm struct {
+	zone  string
+	place bvfinding.Place
+}
+
+type zone struct {
+	region string
+	place  bvfinding.Place
+	// balancers and upstreams tell which groups have some in the zone.
+	balancers, upstreams map[string]bool
+}
+
+// build converts rows and rules to configurations, ordered by group. It
+// reports problems and goes on, so that one run finds all of them.
+func build(file string, rows []row, r rules, l *bvfinding.List) []bvconfig.Config {
+	b := &builder{
+		file: file, rules: r, list: l,
+		groups: map[string]*bvconfig.Config{}, services: map[string]*service{},
+		vms: map[string]*vm{}, zones: map[string]*zone{}, tunnels: map[netip.AddrPort]string{},
+		addresses: map[serviceAddress]string{}, vnis: map[uint32]string{},
+		zonesOut: byName(r.zonesOut), leaving: byName(r.leaving),
+	}
+	for i := range rows {
+		if rows[i].role == roleService {
+			b.serviceRow(&rows[i])
+		}
+	}
+	for i := range rows {
+		switch rows[i].role {
+		case roleUpstream:
+			b.upstreamRow(&rows[i])
+		case roleBalancer:
+			b.balancerRow(&rows[i])
+		}
+	}
+	b.checkRules()
+	b.finishServices()
+	b.finishZones()
+	return b.configs()
+}
+
+func byName(names []placed) map[string]placed {
+	m := make(map[string]placed, len(names))
+	for _, p := range names {
+		m[p.value] = p
+	}
+	return m
+}
+
+// group returns the configuration of a row's group; explicit is the name that
+// the row or its service gives.
+func (b *builder) group(w *row, explicit string) (*bvconfig.Config, bool) {
+	name := cmp.Or(explicit, b.rules.group)
+	if name == "" {
+		b.add(w, colGroup, "no group is given", "write \"group: NAME\" in the rules, or add a column group to the register")
+		return nil, false
+	}
+	if !validName(name) {
+		b.add(w, colGroup, "group "+quote(name)+" is not a valid name", nameRemedy)
+		return nil, false
+	}
+	c, ok := b.groups[name]
+	if !ok {
+		c = &bvconfig.Config{Group: name, HashSeed: b.rules.hashSeed}
+		b.groups[name] = c
+	}
+	return c, true
+}
+
+// serviceRow adds an address to a service. A service has one row for each
+// address.
+func (b *builder) serviceRow(w *row) {
+	name, ok := b.name(w, colService, "service")
+	if !ok {
+		return
+	}
+	c, ok := b.group(w, w.text(colGroup))
+	if !ok {
+		return
+	}
+	s, known := b.services[name]
+	if !known {
+		s = b.newService(name, c.Group, b.at(w, colService))
+	}
+	if s.group != c.Group {
+		b.add(w, colGroup, "service "+quote(name)+" is in group "+quote(s.group)+" on line "+strconv.Itoa(s.place.Line),
+			"write the same group, or rename one of the services")
+		return
+	}
+	b.protocol(w, s, known)
+	b.vni(w, s)
+	a, ok := b.endpoint(w, 0)
+	if !ok {
+		return
+	}
+	k := serviceAddress{a, s.Protocol}
+	if other, taken := b.addresses[k]; taken {
+		b.add(w, colAddress, "address "+a.String()+" ("+s.Protocol.String()+") belongs to service "+quote(other)+" already",
+			"give each service its own address and port")
+		return
+	}
+	b.addresses[k] = name
+	s.Addresses = append(s.Addresses, a)
+}
+
+func (b *builder) newService(name, group string, place bvfinding.Place) *service {
+	r := b.rules.service(name)
+	s := &service{group: group, place: place, rules: r, Service: bvconfig.Service{
+		Name: name, VNI: r.vni, Class: r.class, Idempotent: r.idempotent, Protocol: bvflow.ProtocolTCP,
+		ColdFlowsPerSecond: r.cold, WarmFlowsPerSecond: r.warm, WarmUp: r.warmUp, IdleTimeout: r.idleTimeout,
+	}}
+	if r.protocol == "udp" {
+		s.Protocol = bvflow.ProtocolUDP
+	}
+	b.services[name] = s
+	return s
+}
+
+// protocol reads the protocol column. The rules come first.
+func (b *builder) protocol(w *row, s *service, known bool) {
+	text := w.text(colProtocol)
+	var p bvflow.Protocol
+	switch text {
+	case "":
+		return
+	case "tcp", "TCP":
+		p = bvflow.ProtocolTCP
+	case "udp", "UDP":
+		p = bvflow.ProtocolUDP
+	default:
+		b.add(w, colProtocol, "unknown protocol "+quote(text), "write tcp or udp")
+		return
+	}
+	if p != s.Protocol && (known || s.rules.protocol != "") {
+		b.add(w, colProtocol, "service "+quote(s.Name)+" has protocol "+s.Protocol.String()+" elsewhere", "write one protocol, or make two services of it")
+		return
+	}
+	s.Protocol = p
+}
+
+// vni reads the VNI of a service from any of its rows. Two services never
+// share one, because a VM tells its own packets from others' by the VNI.
+func (b *builder) vni(w *row, s *service) {
+	v := b.number(w, colVNI, 0, maxVNI)
+	if v == 0 {
+		return
+	}
+	if s.VNI != 0 && s.VNI != v {
+		b.add(w, colVNI, "service "+quote(s.Name)+" has VNI "+strconv.Itoa(int(s.VNI))+" elsewhere", "write one VNI for each service")
+		return
+	}
+	s.VNI = v
+}
+
+// upstreamRow adds an upstream.
+func (b *builder) upstreamRow(w *row) {
+	s, ok := b.services[w.text(colService)]
+	if !ok {
+		b.add(w, colService, "service "+quote(w.text(colService))+" has no row of its own",
+			"add a row with role service, its address and its port, or correct the name")
+	}
+	u, usable := b.vm(w)
+	if !ok || !usable {
+		return
+	}
+	if g := w.text(colGroup); g != "" && g != s.group {
+		b.add(w, colGroup, "the VM is in group "+quote(g)+" and its service "+quote(s.Name)+" in "+quote(s.group), "write the group of the service")
+		return
+	}
+	b.vni(w, s)
+	b.zones[u.zone].upstreams[s.group] = true
+	up := bvconfig.Upstream{
+		Name: u.name, Service: s.Name, Zone: u.zone, Tunnel: u.tunnel,
+		Health:      b.optionalEndpoint(w, colHealth, netip.AddrPort{}),
+		Weight:      b.count(w, colWeight, s.rules.weight),
+		Slots:       b.count(w, colSlots, s.rules.slots),
+		Connections: b.count(w, colConnections, s.rules.connections),
+		Leaving:     u.leaving,
+	}
+	s.upstreams++
+	rule, out := b.zonesOut[u.zone]
+	switch {
+	case out:
+		s.lastRule = rule.place
+	case u.leaving:
+		s.lastRule = b.leaving[u.name].place
+	default:
+		s.taking++
+	}
+	c := b.groups[s.group]
+	c.Upstreams = append(c.Upstreams, up)
+}
+
+// balancerRow adds a balancer.
+func (b *builder) balancerRow(w *row) {
+	c, ok := b.group(w, w.text(colGroup))
+	u, usable := b.vm(w)
+	if !ok || !usable {
+		return
+	}
+	b.zones[u.zone].balancers[c.Group] = true
+	c.Balancers = append(c.Balancers, bvconfig.Balancer{
+		Name: u.name, Zone: u.zone, Tunnel: u.tunnel,
+		Control: b.optionalEndpoint(w, colControl, u.tunnel), Leaving: u.leaving,
+	})
+}
+
+// machine is what upstreams and balancers have in common.
+type machine struct {
+	name, zone string
+	tunnel     netip.AddrPort
+	leaving    bool
+}
+
+// vm reads the VM of a row. A VM stands in the register once.
+func (b *builder) vm(w *row) (machine, bool) {
+	name, nameOK := b.name(w, colVM, "VM")
+	zoneName, zoneOK := b.name(w, colZone, "zone")
+	tunnel, tunnelOK := b.endpoint(w, genevePort)
+	if zoneOK {
+		b.zone(w, zoneName)
+	}
+	if nameOK {
+		if first, twice := b.vms[name]; twice {
+			b.repeated(w, name, zoneName, first)
+			return machine{}, false
+		}
+		b.vms[name] = &vm{zone: zoneName, place: b.at(w, colVM)}
+	}
+	if !nameOK || !zoneOK || !tunnelOK {
+		return machine{}, false
+	}
+	if other, taken := b.tunnels[tunnel]; taken {
+		b.add(w, colAddress, "address "+tunnel.String()+" belongs to VM "+quote(other)+" already", "correct one of the two addresses")
+		return machine{}, false
+	}
+	b.tunnels[tunnel] = name
+	_, leaving := b.leaving[name]
+	return machine{name, zoneName, tunnel, leaving}, true
+}
+
+// repeated reports a VM that stands in the register twice.
+func (b *builder) repeated(w *row, name, zoneName string, first *vm) {
+	line := strconv.Itoa(first.place.Line)
+	if first.zone != zoneName {
+		b.add(w, colZone, "VM "+quote(name)+" is in zone "+quote(zoneName)+" here and in zone "+quote(first.zone)+" on line "+line,
+			"keep the row with the right zone")
+		return
+	}
+	b.add(w, colVM, "VM "+quote(name)+" stands on line "+line+" already", "keep one row; a VM serves one service")
+}
+
+// zone adds a zone, or checks that its region is the same as before.
+func (b *builder) zone(w *row, name string) {
+	z, ok := b.zones[name]
+	if !ok {
+		z = &zone{place: b.at(w, colZone), balancers: map[string]bool{}, upstreams: map[string]bool{}}
+		b.zones[name] = z
+	}
+	region := w.text(colRegion)
+	if z.region != "" && region != "" && region != z.region {
+		b.add(w, colRegion, "zone "+quote(name)+" is in region "+quote(region)+" here and in "+quote(z.region)+" elsewhere", "write one region for each zone")
+		return
+	}
+	z.region = cmp.Or(z.region, region)
+}
+
+// configs returns the collected configurations in a fixed order.
+func (b *builder) configs() []bvconfig.Config {
+	for _, s := range b.services {
+		c := b.groups[s.group]
+		slices.SortFunc(s.Addresses, netip.AddrPort.Compare)
+		c.Services = append(c.Services, s.Service)
+	}
+	for n, z := range b.zones {
+		_, out := b.zonesOut[n]
+		members := maps.Clone(z.balancers)
+		maps.Copy(members, z.upstreams)
+		for g := range members {
+			c := b.groups[g]
+			c.Zones = append(c.Zones, bvconfig.Zone{Name: n, Region: z.region, OutOfService: out})
+		}
+	}
+	var all []bvconfig.Config
+	for _, n := range slices.Sorted(maps.Keys(b.groups)) {
+		c := b.groups[n]
+		slices.SortFunc(c.Zones, func(x, y bvconfig.Zone) int { return cmp.Compare(x.Name, y.Name) })
+		slices.SortFunc(c.Services, func(x, y bvconfig.Service) int { return cmp.Compare(x.Name, y.Name) })
+		slices.SortFunc(c.Upstreams, func(x, y bvconfig.Upstream) int {
+			return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Name, y.Name))
+		})
+		slices.SortFunc(c.Balancers, func(x, y bvconfig.Balancer) int { return cmp.Compare(x.Name, y.Name) })
+		all = append(all, *c)
+	}
+	return all
+}
--- /dev/null
+++ b/core/bvregister/consistency.go
@@ -0,0 +1,86 @@
+package bvregister
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strconv"
+
+	"balsamvane/core/bvfinding"
+)
+
+// checkRules reports rules that name nothing in the register.
+func (b *builder) checkRules() {
+	for _, p := range b.rules.zonesOut {
+		if _, ok := b.zones[p.value]; !ok {
+			b.list.Add(p.place, "no VM of the register is in a zone "+quote(p.value), "write "+nearest(p.value, limited(b.zones))+", or remove the rule")
+		}
+	}
+	for _, p := range b.rules.leaving {
+		if _, ok := b.vms[p.value]; !ok {
+			b.list.Add(p.place, "the register has no VM "+quote(p.value), "correct the name; remove the rule if the VM is no longer in the register")
+		}
+	}
+	for n, s := range b.rules.services {
+		if _, ok := b.services[n]; !ok {
+			b.list.Add(s.place, "the register has no service "+quote(n), "write "+nearest(n, limited(b.services))+", or remove the rule")
+		}
+	}
+}
+
+// limited returns up to 12 of the names, for use in a remedy.
+func limited[V any](m map[string]V) map[string]V {
+	out := map[string]V{}
+	for _, n := range slices.Sorted(maps.Keys(m)) {
+		if len(out) == 12 {
+			break
+		}
+		out[n] = m[n]
+	}
+	return out
+}
+
+// finishServices reports services that cannot be served.
+func (b *builder) finishServices() {
+	// In the order of the file, so that a conflict is reported at the later row.
+	order := slices.SortedFunc(maps.Values(b.services), func(x, y *service) int {
+		return cmp.Or(cmp.Compare(x.place.Line, y.place.Line), cmp.Compare(x.Name, y.Name))
+	})
+	for _, s := range order {
+		n := s.Name
+		if s.VNI == 0 {
+			b.list.Add(s.place, "service "+quote(n)+" has no VNI", "write its VNI in column vni of a row of the service, or as vni in the rules")
+		} else if other, taken := b.vnis[s.VNI]; taken {
+			b.list.Add(s.place, "services "+quote(other)+" and "+quote(n)+" have the same VNI "+strconv.Itoa(int(s.VNI)),
+				"give each service its own VNI; a VM discards packets of other services by it")
+		} else {
+			b.vnis[s.VNI] = n
+		}
+		switch {
+		case s.upstreams == 0:
+			b.list.Add(s.place, "service "+quote(n)+" has no VMs", "add a row with role upstream for each VM, or remove the service")
+		case s.taking == 0 && !s.rules.allowNoZone:
+			b.list.Add(s.lastRule, "this takes out the last zone or VM of service "+quote(n),
+				"leave one zone with a VM in service, or write \"allowNoZone: true\" at the service if that is intended")
+		}
+	}
+}
+
+// finishZones reports zones whose upstreams no balancer can reach: only
+// balancers of a zone place flows on its upstreams.
+func (b *builder) finishZones() {
+	for _, n := range slices.Sorted(maps.Keys(b.zones)) {
+		z := b.zones[n]
+		for _, g := range slices.Sorted(maps.Keys(z.upstreams)) {
+			if !z.balancers[g] {
+				b.list.Add(z.place, "zone "+quote(n)+" has upstreams of group "+quote(g)+" but no balancer of it",
+					"add a row with role balancer in this zone; only balancers of a zone send flows to its VMs")
+			}
+		}
+	}
+	for g, c := range b.groups {
+		if len(c.Balancers) == 0 && len(c.Upstreams) == 0 {
+			b.list.Add(bvfinding.Place{File: b.file}, "group "+quote(g)+" has no VMs", "add the rows of its balancers and upstreams, or remove the group")
+		}
+	}
+}
