Report what a change of configuration does to flows

Operators want to see before publishing which VMs get no new flows, which flows are given up and how many defaults move. Diff estimates the shares on 2,000 made-up flows of each service from a fixed seed, with the rendezvous choice of core/bvpick.

--- a/core/bvconfig/encode_pending.go
+++ b/core/bvconfig/encode_pending.go
@@ -5,10 +5,19 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"balsamvane/core/bvfinding"
 )
 
+// The limits of part/member.
+const (
+	MaxPart       = 1_000_000
+	MaxVNI        = 1<<24 - 1
+	MaxWeight     = 1_000_000
+	BaseRetention = 4 * time.Hour
+)
+
 // Encode stands in for the encoder of part/member until the merge.
 func Encode(c Config, _ int) ([]byte, map[string][]byte, error) {
 	revision := c.Version.Revision
--- a/core/bvregister/address.go
+++ b/core/bvregister/address.go
@@ -14,9 +14,6 @@
 // of a VM row that gives none.
 const genevePort = 6081
 
-// maxVNI is the largest Geneve virtual network identifier (24 bits).
-const maxVNI = 1<<24 - 1
-
 const nameRemedy = "use letters, digits, '.', '_' and '-', at most 100 of them, starting with a letter or digit"
 
 // validName reports whether s can be used in a platform key and as a file
--- a/core/bvregister/build.go
+++ b/core/bvregister/build.go
@@ -21,8 +21,9 @@
 	services map[string]*service
 	vms      map[string]*vm
 	zones    map[string]*zone
-	// tunnels and addresses tell who has an address already.
+	// tunnels, controls and addresses tell who has an address already.
 	tunnels   map[netip.AddrPort]string
+	controls  map[netip.AddrPort]string
 	addresses map[serviceAddress]string
 	vnis      map[uint32]string
 	zonesOut  map[string]placed
@@ -64,7 +65,7 @@
 	b := &builder{
 		file: file, rules: r, list: l,
 		groups: map[string]*bvconfig.Config{}, services: map[string]*service{},
-		vms: map[string]*vm{}, zones: map[string]*zone{}, tunnels: map[netip.AddrPort]string{},
+		vms: map[string]*vm{}, zones: map[string]*zone{}, tunnels: map[netip.AddrPort]string{}, controls: map[netip.AddrPort]string{},
 		addresses: map[serviceAddress]string{}, vnis: map[uint32]string{},
 		zonesOut: byName(r.zonesOut), leaving: byName(r.leaving),
 	}
@@ -189,7 +190,7 @@
 // vni reads the VNI of a service from any of its rows. Two services never
 // share one, because a VM tells its own packets from others' by the VNI.
 func (b *builder) vni(w *row, s *service) {
-	v := b.number(w, colVNI, 0, maxVNI)
+	v := b.number(w, colVNI, 0, bvconfig.MaxVNI)
 	if v == 0 {
 		return
 	}
@@ -220,7 +221,7 @@
 	up := bvconfig.Upstream{
 		Name: u.name, Service: s.Name, Zone: u.zone, Tunnel: u.tunnel,
 		Health:      b.optionalEndpoint(w, colHealth, netip.AddrPort{}),
-		Weight:      b.count(w, colWeight, s.rules.weight),
+		Weight:      b.number(w, colWeight, s.rules.weight, bvconfig.MaxWeight),
 		Slots:       b.count(w, colSlots, s.rules.slots),
 		Connections: b.count(w, colConnections, s.rules.connections),
 		Leaving:     u.leaving,
@@ -247,9 +248,14 @@
 		return
 	}
 	b.zones[u.zone].balancers[c.Group] = true
+	control := b.optionalEndpoint(w, colControl, u.tunnel)
+	if other, taken := b.controls[control]; taken {
+		b.add(w, colControl, "control address "+control.String()+" belongs to VM "+quote(other)+" already", "correct one of the two addresses")
+		return
+	}
+	b.controls[control] = u.name
 	c.Balancers = append(c.Balancers, bvconfig.Balancer{
-		Name: u.name, Zone: u.zone, Tunnel: u.tunnel,
-		Control: b.optionalEndpoint(w, colControl, u.tunnel), Leaving: u.leaving,
+		Name: u.name, Zone: u.zone, Tunnel: u.tunnel, Control: control, Leaving: u.leaving,
 	})
 }
 
--- a/core/bvregister/bvregister.go
+++ b/core/bvregister/bvregister.go
@@ -34,10 +34,6 @@
 	"balsamvane/core/bvfinding"
 )
 
-// MaxPart is the largest size of a published part in bytes. The platform takes
-// values up to 1 MB.
-const MaxPart = 1_000_000
-
 // Source is an input file. Name appears in findings.
 type Source struct {
 	Name    string
@@ -134,7 +130,7 @@
 		}
 		return Group{}, false
 	}
-	m, parts, err := bvconfig.Encode(c, MaxPart)
+	m, parts, err := bvconfig.Encode(c, bvconfig.MaxPart)
 	if err != nil {
 		l.Add(place, "group "+quote(c.Group)+" cannot be encoded: "+err.Error(), "split the group or shorten its names")
 		return Group{}, false
--- a/core/bvregister/consistency.go
+++ b/core/bvregister/consistency.go
@@ -59,9 +59,9 @@
 		switch {
 		case s.upstreams == 0:
 			b.list.Add(s.place, "service "+quote(n)+" has no VMs", "add a row with role upstream for each VM, or remove the service")
-		case s.taking == 0 && !s.rules.allowNoZone:
+		case s.taking == 0:
 			b.list.Add(s.lastRule, "this takes out the last zone or VM of service "+quote(n),
-				"leave one zone with a VM in service, or write \"allowNoZone: true\" at the service if that is intended")
+				"leave one zone with a VM in service; to end the service, remove its rows from the register")
 		}
 	}
 }
--- /dev/null
+++ b/core/bvregister/diff.go
@@ -0,0 +1,306 @@
+package bvregister
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+)
+
+// DiffOptions set how a [Diff] is computed. The zero value is ready to use.
+type DiffOptions struct {
+	// NewPicker gives the default choices of a configuration; [NewPicker] if
+	// nil.
+	NewPicker func(bvconfig.Config) Picker
+	// Samples is the number of made-up flows of each service; 2,000 if 0,
+	// which gives shares a standard error of about one percentage point.
+	Samples int
+}
+
+// Report says what a change of configuration does.
+type Report struct {
+	Group       string `json:"group"`
+	OldRevision uint64 `json:"oldRevision"`
+	NewRevision uint64 `json:"newRevision"`
+	// HashSeedChanged tells that every flow gets another key, so that
+	// established flows are not found any more.
+	HashSeedChanged bool `json:"hashSeedChanged"`
+	// NoNewFlows lists VMs that took new flows before and do not any more.
+	NoNewFlows []VM `json:"noNewFlows"`
+	// GivenUp lists losses of established flows.
+	GivenUp []Loss `json:"givenUp"`
+	// Moved lists the services with flows whose default moves. Established
+	// flows stay where they are; balancers exchange them as exceptions.
+	Moved []Share `json:"moved"`
+	// MovedShare is the share over all services that are in both
+	// configurations, weighted by their number of VMs.
+	MovedShare float64 `json:"movedShare"`
+	// Cold lists upstreams that start cold.
+	Cold []VM `json:"cold"`
+	// FewerZones lists services that lose zones for new flows.
+	FewerZones []ZoneCount `json:"fewerZones"`
+	// Added and Removed list services, Balancers those that come, go or leave.
+	Added     []string `json:"added"`
+	Removed   []string `json:"removed"`
+	Balancers []VM     `json:"balancers"`
+}
+
+// VM is a VM and what happens to it.
+type VM struct {
+	Name    string `json:"name"`
+	Service string `json:"service,omitempty"`
+	Zone    string `json:"zone"`
+	Reason  string `json:"reason"`
+}
+
+// Loss is a share of a service's flows that is given up.
+type Loss struct {
+	Service string  `json:"service"`
+	Zone    string  `json:"zone"`
+	VMs     int     `json:"vms"`
+	Share   float64 `json:"share"`
+	Reason  string  `json:"reason"`
+}
+
+// Share is a share of a service's flows, from 0 to 1.
+type Share struct {
+	Service string  `json:"service"`
+	Share   float64 `json:"share"`
+}
+
+// ZoneCount is the number of zones in which a service takes new flows.
+type ZoneCount struct {
+	Service string `json:"service"`
+	Before  int    `json:"before"`
+	After   int    `json:"after"`
+}
+
+// Empty reports whether the change touches no flow and no VM.
+func (r Report) Empty() bool {
+	return !r.HashSeedChanged && len(r.NoNewFlows)+len(r.GivenUp)+len(r.Moved)+len(r.Cold)+
+		len(r.FewerZones)+len(r.Added)+len(r.Removed)+len(r.Balancers) == 0
+}
+
+// Diff reports what going from the old to the new configuration of a group
+// does. Shares are estimated on made-up flows from a fixed seed, so that the
+// same input gives the same report.
+func Diff(old, next bvconfig.Config, o DiffOptions) Report {
+	if o.NewPicker == nil {
+		o.NewPicker = NewPicker
+	}
+	if o.Samples <= 0 {
+		o.Samples = 2000
+	}
+	d := &differ{old: newSide(old, o), next: newSide(next, o), samples: o.Samples, losses: map[lossKey]*Loss{}}
+	d.report = Report{
+		Group: cmp.Or(next.Group, old.Group), OldRevision: old.Version.Revision, NewRevision: next.Version.Revision,
+		HashSeedChanged: old.HashSeed != next.HashSeed,
+	}
+	d.upstreams()
+	d.services()
+	d.balancers()
+	d.sort()
+	return d.report
+}
+
+// side is one of the two configurations with what is looked up in it.
+type side struct {
+	config    bvconfig.Config
+	out       map[string]bool
+	upstreams map[bvconfig.UpstreamID]bvconfig.Upstream
+	services  map[string]bvconfig.Service
+	zones     map[string]map[string]bool // Zones that take new flows, by service.
+	vms       map[string]int             // Upstreams, by service.
+	picker    Picker
+	hasher    bvflow.Hasher
+}
+
+func newSide(c bvconfig.Config, o DiffOptions) *side {
+	s := &side{
+		config: c, out: zonesOut(c), upstreams: make(map[bvconfig.UpstreamID]bvconfig.Upstream, len(c.Upstreams)),
+		services: map[string]bvconfig.Service{}, zones: map[string]map[string]bool{}, vms: map[string]int{},
+		picker: o.NewPicker(c), hasher: bvflow.NewHasher(c.HashSeed),
+	}
+	for _, v := range c.Services {
+		s.services[v.Name] = v
+		s.zones[v.Name] = map[string]bool{}
+	}
+	for _, u := range c.Upstreams {
+		s.upstreams[u.ID()] = u
+		s.vms[u.Service]++
+		if s.takes(u) && s.zones[u.Service] != nil {
+			s.zones[u.Service][u.Zone] = true
+		}
+	}
+	return s
+}
+
+// takes reports whether u gets new flows.
+func (s *side) takes(u bvconfig.Upstream) bool { return !u.Leaving && !s.out[u.Zone] }
+
+type lossKey struct{ service, zone, reason string }
+
+type differ struct {
+	old, next *side
+	samples   int
+	losses    map[lossKey]*Loss
+	report    Report
+}
+
+// The reasons in a report.
+const (
+	reasonZoneOut = "zone out of service"
+	reasonLeaving = "leaving"
+	reasonRemoved = "removed or moved to another address, service or zone"
+	reasonNew     = "new"
+)
+
+// fate tells why an upstream of the old configuration gets no new flows;
+// lost tells that its established flows are given up.
+func (d *differ) fate(u bvconfig.Upstream) (reason string, lost bool) {
+	v, ok := d.next.upstreams[u.ID()]
+	switch {
+	case !ok:
+		return reasonRemoved, true
+	case d.next.out[v.Zone]:
+		return reasonZoneOut, true
+	case v.Leaving:
+		return reasonLeaving, false
+	default:
+		return "", false
+	}
+}
+
+func (d *differ) upstreams() {
+	for _, u := range d.old.upstreams {
+		reason, lost := d.fate(u)
+		if reason != "" && d.old.takes(u) {
+			d.report.NoNewFlows = append(d.report.NoNewFlows, VM{u.Name, u.Service, u.Zone, reason})
+		}
+		if lost && !d.old.out[u.Zone] {
+			k := lossKey{u.Service, u.Zone, reason}
+			if d.losses[k] == nil {
+				d.losses[k] = &Loss{Service: u.Service, Zone: u.Zone, Reason: reason}
+			}
+			d.losses[k].VMs++
+		}
+	}
+	for id, u := range d.next.upstreams {
+		if _, known := d.old.upstreams[id]; !known && d.next.takes(u) {
+			d.report.Cold = append(d.report.Cold, VM{u.Name, u.Service, u.Zone, reasonNew})
+		}
+	}
+}
+
+func (d *differ) services() {
+	weight, moved := 0.0, 0.0
+	for _, n := range slices.Sorted(maps.Keys(d.old.services)) {
+		s := d.old.services[n]
+		t, kept := d.next.services[n]
+		if !kept {
+			d.report.Removed = append(d.report.Removed, n)
+		}
+		share := d.sample(s, t, kept)
+		if !kept {
+			continue
+		}
+		if share > 0 {
+			d.report.Moved = append(d.report.Moved, Share{n, share})
+		}
+		w := float64(d.old.vms[n])
+		weight, moved = weight+w, moved+w*share
+		if before, after := len(d.old.zones[n]), len(d.next.zones[n]); after < before {
+			d.report.FewerZones = append(d.report.FewerZones, ZoneCount{n, before, after})
+		}
+	}
+	if weight > 0 {
+		d.report.MovedShare = moved / weight
+	}
+	for n := range d.next.services {
+		if _, known := d.old.services[n]; !known {
+			d.report.Added = append(d.report.Added, n)
+		}
+	}
+}
+
+// sample draws flows of a service and returns the share whose default moves.
+// It adds the share of flows that are given up to the losses.
+func (d *differ) sample(s, t bvconfig.Service, kept bool) float64 {
+	if len(s.Addresses) == 0 {
+		return 0
+	}
+	r := rand.New(rand.NewPCG(uint64(s.VNI), 1))
+	moved := 0
+	for i := range d.samples {
+		f := bvflow.Tuple{
+			Source:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(r.Uint32()), byte(r.Uint32()), byte(r.Uint32())}), uint16(1024+r.IntN(64000))),
+			Destination: s.Addresses[i%len(s.Addresses)],
+			Protocol:    s.Protocol,
+		}
+		before, ok := d.old.picker.Pick(s.Name, d.old.hasher.Key(f))
+		if !ok {
+			continue
+		}
+		u := d.old.upstreams[before]
+		reason, _ := d.fate(u)
+		if l := d.losses[lossKey{u.Service, u.Zone, reason}]; l != nil {
+			l.Share += 1 / float64(d.samples)
+		}
+		if !kept {
+			continue
+		}
+		f.Protocol = t.Protocol
+		if after, ok := d.next.picker.Pick(t.Name, d.next.hasher.Key(f)); !ok || after != before {
+			moved++
+		}
+	}
+	return float64(moved) / float64(d.samples)
+}
+
+func (d *differ) balancers() {
+	before := map[bvconfig.NodeID]bvconfig.Balancer{}
+	for _, b := range d.old.config.Balancers {
+		before[b.ID()] = b
+	}
+	add := func(b bvconfig.Balancer, reason string) {
+		d.report.Balancers = append(d.report.Balancers, VM{Name: b.Name, Zone: b.Zone, Reason: reason})
+	}
+	for _, b := range d.next.config.Balancers {
+		o, known := before[b.ID()]
+		delete(before, b.ID())
+		switch {
+		case !known:
+			add(b, reasonNew)
+		case b.Leaving && !o.Leaving:
+			add(b, reasonLeaving)
+		case o.Leaving && !b.Leaving:
+			add(b, "no longer leaving")
+		case o.Zone != b.Zone || o.Tunnel != b.Tunnel || o.Control != b.Control:
+			add(b, "another address or zone")
+		}
+	}
+	for _, b := range before {
+		add(b, "removed")
+	}
+}
+
+// sort puts all lists in a fixed order.
+func (d *differ) sort() {
+	byVM := func(a, b VM) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name), cmp.Compare(a.Zone, b.Zone))
+	}
+	slices.SortFunc(d.report.NoNewFlows, byVM)
+	slices.SortFunc(d.report.Cold, byVM)
+	slices.SortFunc(d.report.Balancers, byVM)
+	slices.Sort(d.report.Added)
+	for _, l := range d.losses {
+		d.report.GivenUp = append(d.report.GivenUp, *l)
+	}
+	slices.SortFunc(d.report.GivenUp, func(a, b Loss) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Reason, b.Reason))
+	})
+}
--- /dev/null
+++ b/core/bvregister/diff_test.go
@@ -0,0 +1,66 @@
+package bvregister_test
+
+import (
+	"strings"
+	"testing"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvregister"
+
+	"github.com/stretchr/testify/require"
+)
+
+func serena(t testing.TB, rules string, replace ...string) bvconfig.Config {
+	t.Helper()
+	register, r := example(t, "serena")
+	register.Content = []byte(strings.NewReplacer(replace...).Replace(string(register.Content)))
+	r.Content = append([]byte(rules), r.Content...)
+	return mustImport(t, register, r, nil).Groups[0].Config
+}
+
+// Guards against a report that leaves out a consequence of a change.
+func TestDiff(t *testing.T) {
+	old := serena(t, "")
+
+	t.Run("nothing", func(t *testing.T) {
+		r := bvregister.Diff(old, serena(t, ""), bvregister.DiffOptions{})
+		require.True(t, r.Empty())
+		require.Zero(t, r.MovedShare)
+	})
+	t.Run("zone out", func(t *testing.T) {
+		r := bvregister.Diff(old, serena(t, "zonesOutOfService: [cr-b]\n"), bvregister.DiffOptions{})
+		require.Len(t, r.NoNewFlows, 5) // 4 bench VMs and 1 certificate VM.
+		require.Len(t, r.GivenUp, 2)
+		require.Equal(t, "cr-b", r.GivenUp[0].Zone)
+		// Rendezvous hashing moves the flows of the zone and no others.
+		require.InDelta(t, 4.0/14, r.GivenUp[0].Share, 0.03)
+		require.InDelta(t, r.GivenUp[0].Share, r.Moved[0].Share, 1e-9)
+		require.Equal(t, []bvregister.ZoneCount{{Service: "bench", Before: 4, After: 3}, {Service: "certificates", Before: 4, After: 3}}, r.FewerZones)
+		require.Empty(t, r.Cold)
+	})
+	t.Run("zone back", func(t *testing.T) {
+		r := bvregister.Diff(serena(t, "zonesOutOfService: [cr-b]\n"), old, bvregister.DiffOptions{})
+		require.Empty(t, r.GivenUp)
+		require.Empty(t, r.NoNewFlows)
+		require.NotEmpty(t, r.Moved)
+	})
+	t.Run("VM leaving", func(t *testing.T) {
+		r := bvregister.Diff(old, serena(t, "vmsLeaving: [bench-3, entry-a1]\n"), bvregister.DiffOptions{})
+		require.Equal(t, []bvregister.VM{{Name: "bench-3", Service: "bench", Zone: "cr-c", Reason: "leaving"}}, r.NoNewFlows)
+		require.Equal(t, []bvregister.VM{{Name: "entry-a1", Zone: "cr-a", Reason: "leaving"}}, r.Balancers)
+		require.Empty(t, r.GivenUp)
+	})
+	t.Run("VM replaced", func(t *testing.T) {
+		r := bvregister.Diff(old, serena(t, "", "cert-4,", "cert-5,"), bvregister.DiffOptions{})
+		require.Equal(t, "cert-4", r.NoNewFlows[0].Name)
+		require.Equal(t, "cert-5", r.Cold[0].Name)
+		require.Len(t, r.GivenUp, 1)
+	})
+	t.Run("hash seed", func(t *testing.T) {
+		next := old
+		next.HashSeed++
+		r := bvregister.Diff(old, next, bvregister.DiffOptions{})
+		require.True(t, r.HashSeedChanged)
+		require.Greater(t, r.MovedShare, 0.5)
+	})
+}
--- a/core/bvregister/import_test.go
+++ b/core/bvregister/import_test.go
@@ -158,6 +158,8 @@
 		{"zone without balancer", strings.Replace(base, "b2,,b", "b2,,a", 1), baseRules, "r.csv:6:8", "no balancer"},
 		{"no VNI", strings.Replace(base, "80,,1", "80,,", 1), baseRules, "r.csv:2:2", "no VNI"},
 		{"large VNI", strings.Replace(base, "80,,1", "80,,16777216", 1), baseRules, "r.csv:2:30", "not a valid vni"},
+		{"long idle timeout", base, baseRules + "services: {web: {idleTimeout: 4h}}", "r.yaml:2:31", "too long"},
+		{"control address", base, baseRules + "columns: {controlAddress: region}", "r.csv:3:", "not an address with a port"},
 		{"protocol in two forms", base, baseRules + "services: {web: {protocol: icmp}}", "r.yaml:2:28", "not valid here"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -173,13 +175,6 @@
 	}
 }
 
-// Guards against a rule for a total outage that operators cannot give at all.
-func TestImportAllowsNoZoneWhenAsked(t *testing.T) {
-	rules := baseRules + "zonesOutOfService: [a, b]\nservices: {web: {allowNoZone: true}}"
-	b := mustImport(t, bvregister.Source{Content: []byte(base)}, bvregister.Source{Content: []byte(rules)}, nil)
-	require.True(t, b.Groups[0].Config.Zones[0].OutOfService)
-}
-
 // Guards against a revision that goes back, or that grows without a change
 // and so makes every node load the same content again.
 func TestImportRevisionOnlyGrows(t *testing.T) {
--- a/core/bvregister/rules.go
+++ b/core/bvregister/rules.go
@@ -48,7 +48,6 @@
 	protocol    string
 	vni         uint32
 	idempotent  bool
-	allowNoZone bool
 	weight      uint32
 	slots       uint32
 	connections uint32
@@ -149,14 +148,13 @@
 	r.mapping(n, "a service", map[string]func(*yaml.Node){
 		"class":       func(v *yaml.Node) { s.class = r.class(v) },
 		"protocol":    func(v *yaml.Node) { s.protocol = r.choice(v, "tcp", "udp") },
-		"vni":         func(v *yaml.Node) { s.vni = uint32(r.number(v, 1, maxVNI)) },
+		"vni":         func(v *yaml.Node) { s.vni = uint32(r.number(v, 1, bvconfig.MaxVNI)) },
 		"idempotent":  func(v *yaml.Node) { s.idempotent = r.choice(v, "true", "false") == "true" },
-		"allowNoZone": func(v *yaml.Node) { s.allowNoZone = r.choice(v, "true", "false") == "true" },
 		"warmUp":      func(v *yaml.Node) { s.warmUp = r.duration(v) },
-		"idleTimeout": func(v *yaml.Node) { s.idleTimeout = r.duration(v) },
+		"idleTimeout": func(v *yaml.Node) { s.idleTimeout = r.idleTimeout(v) },
 		"limits": func(v *yaml.Node) {
 			r.mapping(v, "limits", map[string]func(*yaml.Node){
-				"weight":             func(v *yaml.Node) { s.weight = uint32(r.number(v, 1, math.MaxUint32)) },
+				"weight":             func(v *yaml.Node) { s.weight = uint32(r.number(v, 1, bvconfig.MaxWeight)) },
 				"slots":              func(v *yaml.Node) { s.slots = uint32(r.number(v, 1, math.MaxUint32)) },
 				"connections":        func(v *yaml.Node) { s.connections = uint32(r.number(v, 1, math.MaxUint32)) },
 				"coldFlowsPerSecond": func(v *yaml.Node) { s.cold = r.rate(v, false) },
@@ -315,6 +313,16 @@
 	return d
 }
 
+// idleTimeout reads a timeout that is shorter than old upstream lists are
+// kept, since a flow may outlive none of the lists that explain it.
+func (r *ruleReader) idleTimeout(n *yaml.Node) time.Duration {
+	d := r.duration(n)
+	if d >= bvconfig.BaseRetention {
+		r.add(n, "the idle timeout "+d.String()+" is too long", "write less than "+bvconfig.BaseRetention.String())
+	}
+	return d
+}
+
 func (r *ruleReader) separator(n *yaml.Node) rune {
 	c, size := utf8.DecodeRuneInString(n.Value)
 	if n.Kind != yaml.ScalarNode || size == 0 || size != len(n.Value) || !strings.ContainsRune(",;|\t", c) {
