Add the membership view of a balancer

Cause: owners, watchers and the sources of newer configurations follow from which peers are alive; only the heartbeat type existed. Change: Members with heartbeats, verdicts, incarnations, pauses, promotion in an empty zone, sync marks, the choice of watchers, reads after silence, and the peer to fetch a newer configuration from. Ruled out: yielding by pairwise rank, with which all but one of six nodes yielded after a 3:3 partition; yielding to nodes of other zones, which leaves a whole zone inactive after it was cut off.

--- a/core/bvmember/bvmember.go
+++ b/core/bvmember/bvmember.go
@@ -1,2 +1,303 @@
-// Package bvmember keeps a balancer's view of its peers.
+// Package bvmember keeps a balancer's view of its peers: which are alive, what
+// state they are in, and which of them this node is in sync with.
+//
+// Membership is the published list of balancers plus heartbeats. A peer that
+// misses several heartbeats is dead in this node's view until it shows a
+// higher incarnation, so that it learns of the verdict and gives up what
+// others have taken over. The package also derives from the heartbeats who
+// watches the platform and from which peer a newer configuration is fetched.
+//
+// The package does no I/O and reads no clock. The caller passes the time in,
+// calls [Members.Tick] every 100 ms, and sends [Members.Self] to the targets
+// that [Members.Due] returns.
+//
+// # Usage
+//
+//	m := bvmember.New(bvconfig.NodeIDOf("lb-1"), "zone-a", incarnation, bvmember.Options{})
+//	m.SetBalancers(now, config.Balancers)
+//	for _, c := range m.Tick(now) {
+//		switch c := c.(type) {
+//		case bvmember.PeerDead:
+//			// its keys go to the next node in rank
+//		}
+//	}
+//	for _, t := range m.Due(now) {
+//		send(t.Tunnel, m.Self(now))
+//	}
 package bvmember
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+	"time"
+
+	"balsamvane/core/bvconfig"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Options are the timings of a [Members]; zero values select the defaults.
+type Options struct {
+	HeartbeatInZone time.Duration // 500 ms.
+	HeartbeatAcross time.Duration // 1 s, to peers of other zones.
+	Missed          int           // 4: heartbeats after which a peer is dead.
+	PauseLimit      time.Duration // 1 s: a longer gap between ticks is a pause.
+	ZoneEmptyAfter  time.Duration // 2 s without an active node in the zone.
+	PlatformSilence time.Duration // 60 s without news of a platform contact.
+	ReadJitter      time.Duration // 30 s: spread of the reads that follow.
+	FetchTimeout    time.Duration // 2 s until another peer is tried.
+	Watchers        int           // 2 balancers of a zone watch the platform.
+	// Seed feeds the jitter.
+	Seed uint64
+
+	// Tests switch off one mechanism each.
+	ignorePause      bool
+	ignoreVerdicts   bool
+	ignoreVersions   bool
+	yieldAlways      bool
+	reviveUnchanged  bool
+	noSilenceReading bool
+	noPromotion      bool
+}
+
+func (o Options) withDefaults() Options {
+	o.HeartbeatInZone = cmp.Or(o.HeartbeatInZone, 500*time.Millisecond)
+	o.HeartbeatAcross = cmp.Or(o.HeartbeatAcross, time.Second)
+	o.Missed = cmp.Or(o.Missed, 4)
+	o.PauseLimit = cmp.Or(o.PauseLimit, time.Second)
+	o.ZoneEmptyAfter = cmp.Or(o.ZoneEmptyAfter, 2*time.Second)
+	o.PlatformSilence = cmp.Or(o.PlatformSilence, time.Minute)
+	o.ReadJitter = cmp.Or(o.ReadJitter, 30*time.Second)
+	o.FetchTimeout = cmp.Or(o.FetchTimeout, 2*time.Second)
+	o.Watchers = cmp.Or(o.Watchers, 2)
+	return o
+}
+
+// Peer is this node's view of another balancer.
+type Peer struct {
+	Node    bvconfig.NodeID
+	Name    string
+	Zone    string
+	Tunnel  netip.AddrPort
+	Control netip.AddrPort
+	// Alive is true from the first heartbeat of an incarnation until too many
+	// are missed.
+	Alive        bool
+	State        State
+	Incarnation  uint64 // The highest seen; 0 before the first heartbeat.
+	Version      bvconfig.Version
+	BaseRevision uint64
+	// InSync is true if the peer holds no exception for this node that this
+	// node does not have.
+	InSync bool
+}
+
+type peer struct {
+	Peer
+	heard time.Time // Of the last heartbeat.
+	due   time.Time // Of the next heartbeat to it.
+	rank  uint64
+}
+
+// Target is an address to send a heartbeat or a request to.
+type Target struct {
+	Node    bvconfig.NodeID
+	Tunnel  netip.AddrPort
+	Control netip.AddrPort
+}
+
+// Members is the membership view of one balancer. It is not safe for
+// concurrent use.
+type Members struct {
+	options     Options
+	self        bvconfig.NodeID
+	zone        string
+	incarnation uint64
+	state       State
+	version     bvconfig.Version
+	base        uint64
+	rejected    bvconfig.Version
+	peers       map[bvconfig.NodeID]*peer
+	order       []*peer // By node ID.
+	seen        time.Time
+	zoneActive  time.Time // When the zone last had an active node.
+	contact     time.Time // Own last platform contact.
+	news        time.Time // Last platform contact heard of, own or a peer's.
+	read        time.Time // Time of the next own read of the platform.
+	draws       uint64
+	fetchAgain  time.Time
+	fetches     uint64
+}
+
+// New returns the view of a joining balancer that knows no peers. incarnation
+// is larger than that of any earlier process of the node.
+func New(self bvconfig.NodeID, zone string, incarnation uint64, o Options) *Members {
+	return &Members{
+		options: o.withDefaults(), self: self, zone: zone, incarnation: incarnation,
+		peers: map[bvconfig.NodeID]*peer{},
+	}
+}
+
+// rank orders balancers where no key is involved: the rendezvous order of node
+// IDs for the zone's name.
+func rank(zone string, n bvconfig.NodeID) uint64 {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], uint64(n))
+	return xxh3.HashSeed(b[:], xxh3.HashString(zone))
+}
+
+func (m *Members) outranks(a, b bvconfig.NodeID) bool {
+	return cmp.Or(cmp.Compare(rank(m.zone, a), rank(m.zone, b)), cmp.Compare(a, b)) > 0
+}
+
+// Incarnation returns this node's incarnation.
+func (m *Members) Incarnation() uint64 { return m.incarnation }
+
+// State returns this node's state.
+func (m *Members) State() State { return m.state }
+
+// SetState moves this node to a state: to active when its sync is complete,
+// to leaving for a planned stop.
+func (m *Members) SetState(now time.Time, s State) {
+	m.state = s
+	m.noteActive(now)
+}
+
+// SetVersion records the version in force and the base revision of this node.
+func (m *Members) SetVersion(v bvconfig.Version, base uint64) {
+	m.version, m.base = v, base
+	m.fetchAgain = time.Time{}
+}
+
+// SetBalancers takes the published list. Peers that are in it no longer are
+// forgotten; new ones count as unheard until their first heartbeat.
+func (m *Members) SetBalancers(now time.Time, bs []bvconfig.Balancer) {
+	if m.zoneActive.IsZero() {
+		m.zoneActive, m.news = now, now
+		m.read = now.Add(m.silence())
+	}
+	old := m.peers
+	m.peers, m.order = make(map[bvconfig.NodeID]*peer, len(bs)), m.order[:0]
+	for _, b := range bs {
+		id := b.ID()
+		if id == m.self || m.peers[id] != nil {
+			continue
+		}
+		p := old[id]
+		if p == nil {
+			p = &peer{Peer: Peer{Node: id}, due: now}
+		}
+		p.Name, p.Zone, p.Tunnel, p.Control = b.Name, b.Zone, b.Tunnel, b.Control
+		p.rank = rank(m.zone, id)
+		m.peers[id] = p
+		m.order = append(m.order, p)
+	}
+	slices.SortFunc(m.order, func(a, b *peer) int { return cmp.Compare(a.Node, b.Node) })
+}
+
+// Peers returns all published peers in the order of their IDs.
+func (m *Members) Peers() []Peer {
+	ps := make([]Peer, 0, len(m.order))
+	for _, p := range m.order {
+		ps = append(ps, p.Peer)
+	}
+	return ps
+}
+
+// Peer returns the view of one peer.
+func (m *Members) Peer(n bvconfig.NodeID) (Peer, bool) {
+	p, ok := m.peers[n]
+	if !ok {
+		return Peer{}, false
+	}
+	return p.Peer, true
+}
+
+// Active returns the active balancers of a zone, this node included, in the
+// order of their IDs.
+func (m *Members) Active(zone string) []bvconfig.NodeID {
+	var ns []bvconfig.NodeID
+	for _, p := range m.order {
+		if p.Zone == zone && p.Alive && p.State == StateActive {
+			ns = append(ns, p.Node)
+		}
+	}
+	if zone == m.zone && m.state == StateActive {
+		ns = append(ns, m.self)
+	}
+	slices.Sort(ns)
+	return ns
+}
+
+// MarkSynced records that this node has everything that the peer holds for it.
+func (m *Members) MarkSynced(n bvconfig.NodeID) {
+	if p := m.peers[n]; p != nil {
+		p.InSync = true
+	}
+}
+
+// Synced reports whether this node is in sync with every active peer.
+func (m *Members) Synced() bool {
+	for _, p := range m.order {
+		if p.Alive && p.State == StateActive && !p.InSync {
+			return false
+		}
+	}
+	return true
+}
+
+// LowestBase returns the lowest base revision of this node and the peers that
+// are alive, so that older lists can be dropped.
+func (m *Members) LowestBase() uint64 {
+	low := m.base
+	for _, p := range m.order {
+		if p.Alive {
+			low = min(low, p.BaseRevision)
+		}
+	}
+	return low
+}
+
+// Self returns the heartbeat that this node sends now.
+func (m *Members) Self(now time.Time) Heartbeat {
+	h := Heartbeat{
+		Node: m.self, Incarnation: m.incarnation, State: m.state, Version: m.version, BaseRevision: m.base,
+		PlatformAge: NoContact,
+	}
+	if !m.contact.IsZero() {
+		h.PlatformAge = now.Sub(m.contact)
+	}
+	for _, p := range m.order {
+		if !p.Alive && p.Incarnation > 0 {
+			h.Dead = append(h.Dead, DeadPeer{Node: p.Node, Incarnation: p.Incarnation})
+		}
+	}
+	return h
+}
+
+// Due returns the peers to which a heartbeat is due and counts it as sent.
+// Dead peers get heartbeats as well, so that they learn of the verdict and a
+// partition heals.
+func (m *Members) Due(now time.Time) []Target {
+	var ts []Target
+	for _, p := range m.order {
+		if now.Before(p.due) {
+			continue
+		}
+		p.due = p.due.Add(m.interval(p))
+		if !p.due.After(now) {
+			p.due = now.Add(m.interval(p))
+		}
+		ts = append(ts, Target{Node: p.Node, Tunnel: p.Tunnel, Control: p.Control})
+	}
+	return ts
+}
+
+func (m *Members) interval(p *peer) time.Duration {
+	if p.Zone == m.zone {
+		return m.options.HeartbeatInZone
+	}
+	return m.options.HeartbeatAcross
+}
