Add the limits of upstreams, shedding and the retry budget

Cause: a balancer has to decide alone whether an upstream can take a new flow. Change: Limiter with fixed shares, cold ramps, connection limits, ejection with panic fallback, detection of cold upstreams by start time and retransmitted openings, warm states for joining balancers, shedding by class; RetryBudget and Backoff. Validate reports a connection limit below the number of balancers, whose share would be no connection at all. Ruled out: giving each balancer at least one connection, since the sum would exceed the limit; counters of unhealthy upstreams kept up to date by events, since ejections that expire between events were counted.

--- a/core/bvconfig/store_test.go
+++ b/core/bvconfig/store_test.go
@@ -36,6 +36,7 @@
 		`unknown zone "x"`:                  func(c *Config) { c.Upstreams[0].Zone = "x" },
 		`unknown service "x"`:               func(c *Config) { c.Upstreams[0].Service = "x" },
 		`weight 0 is out of range`:          func(c *Config) { c.Upstreams[0].Weight = 0 },
+		`cannot be shared by 2 balancers`:   func(c *Config) { c.Upstreams[0].Connections = 1 },
 		`has no upstream`:                   func(c *Config) { c.Upstreams = nil },
 		`all zones of service "bench" are`:  func(c *Config) { c.Zones[0].OutOfService = true },
 		`zone "a" has upstreams but no`:     func(c *Config) { c.Balancers = nil },
--- a/core/bvconfig/validate.go
+++ b/core/bvconfig/validate.go
@@ -224,16 +224,21 @@
 // coverage checks that each service can be reached somewhere.
 func (v *validator) coverage() {
 	some, inService := map[string]bool{}, map[string]bool{}
-	upstreamZones, balancerZones := map[string]bool{}, map[string]bool{}
+	upstreamZones, balancers := map[string]bool{}, map[string]uint32{}
+	for _, b := range v.config.Balancers {
+		balancers[b.Zone]++
+	}
 	for _, u := range v.config.Upstreams {
 		some[u.Service] = true
 		out, known := v.zoneOut[u.Zone]
 		if known && !out {
 			inService[u.Service], upstreamZones[u.Zone] = true, true
 		}
-	}
-	for _, b := range v.config.Balancers {
-		balancerZones[b.Zone] = true
+		// Each balancer has a whole number of connections as its share.
+		if n := balancers[u.Zone]; u.Connections > 0 && u.Connections < n {
+			v.add("raise the limit or use fewer balancers",
+				"upstream %q: %d connections cannot be shared by %d balancers", u.Name, u.Connections, n)
+		}
 	}
 	for _, s := range v.config.Services {
 		switch {
@@ -244,7 +249,7 @@
 		}
 	}
 	for _, z := range v.config.Zones {
-		if upstreamZones[z.Name] && !balancerZones[z.Name] {
+		if upstreamZones[z.Name] && balancers[z.Name] == 0 {
 			v.add("add a balancer to the zone", "zone %q has upstreams but no balancer", z.Name)
 		}
 	}
--- /dev/null
+++ b/core/bvlimit/bvlimit.go
@@ -0,0 +1,343 @@
+// Package bvlimit decides whether an upstream can take a new flow from this
+// balancer.
+//
+// Each balancer of a zone has a fixed share of the limits of the zone's
+// upstreams: the limit divided by the published number of balancers. No
+// balancer needs to know what the others do, and the sum stays within the
+// limit also when a partition lets each side believe that it is alone.
+//
+// A cold upstream gets new flows at a rate that rises over its warm-up. An
+// upstream that appears unhealthy is ejected, unless more than a third of its
+// service appears so. Under overload openings are shed by class.
+//
+// The package does no I/O and reads no clock.
+//
+// # Usage
+//
+//	l := bvlimit.New(bvlimit.Options{})
+//	l.SetUpstreams(now, "zone-a", upstreams, store.Balancers(now, "zone-a"))
+//	l.SetShareEnabled(true)
+//	if !l.Shed(service.Class) && l.Admit(now, u) {
+//		l.Opened(now, u) // A flow has been placed on u.
+//	}
+//
+// [Limiter.Opened] and [Limiter.Closed] are called for every entry of the
+// flow table, also for one that was computed for a mid-flow packet: the flows
+// of a balancer that is gone then count for the one that takes over.
+package bvlimit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"balsamvane/core/bvconfig"
+)
+
+// Options are the constants of the rules; zero values select the defaults.
+type Options struct {
+	RetransmitWindow   time.Duration // 5 s.
+	RetransmitMin      int           // 4: fewer retransmitted openings say nothing.
+	RetransmitFraction float64       // 0.25: above it an upstream counts as cold.
+	UnansweredFraction float64       // 0.75: above it an upstream counts as unhealthy.
+	ProbeFailures      int           // 3 failed probes in a row.
+	EjectFor           time.Duration // 10 s for unanswered openings.
+	ReportAge          time.Duration // 6 s: older load reports are ignored.
+	Burst              time.Duration // 500 ms of the share's rate, at least one flow.
+
+	// Tests switch off one mechanism each.
+	liveBalancers  int  // Share by this number instead of the published one.
+	noRamp         bool // Cold upstreams get the warm rate.
+	noRetransmits  bool // Retransmitted openings are ignored.
+	trustReports   bool // A report of a warm upstream ends its ramp.
+	shareAlways    bool // A joining balancer uses its share.
+	noPanic        bool // Any number of upstreams may be ejected.
+	exemptIfNoWarm bool // The budget is lifted if all upstreams are cold.
+}
+
+func (o Options) withDefaults() Options {
+	o.RetransmitWindow = cmp.Or(o.RetransmitWindow, 5*time.Second)
+	o.RetransmitMin = cmp.Or(o.RetransmitMin, 4)
+	o.RetransmitFraction = cmp.Or(o.RetransmitFraction, 0.25)
+	o.UnansweredFraction = cmp.Or(o.UnansweredFraction, 0.75)
+	o.ProbeFailures = cmp.Or(o.ProbeFailures, 3)
+	o.EjectFor = cmp.Or(o.EjectFor, 10*time.Second)
+	o.ReportAge = cmp.Or(o.ReportAge, 6*time.Second)
+	o.Burst = cmp.Or(o.Burst, 500*time.Millisecond)
+	return o
+}
+
+// coldGrowth is how far the rate of a cold upstream rises over its warm-up if
+// the service sets no bound for warm ones.
+const coldGrowth = 10
+
+// Upstream is what the limiter needs to know of an upstream and its service.
+type Upstream struct {
+	ID          bvconfig.UpstreamID
+	Service     string
+	Slots       uint32
+	Connections uint32 // 0 sets no bound.
+	// Cold and Warm bound the new flows per second over all balancers at the
+	// start and at the end of WarmUp. A Warm of 0 sets no bound once warm.
+	Cold    float64
+	Warm    float64
+	WarmUp  time.Duration
+	Leaving bool
+}
+
+// UpstreamsOf returns the upstreams of a zone in the form that
+// [Limiter.SetUpstreams] takes.
+func UpstreamsOf(c bvconfig.Config, zone string) []Upstream {
+	services := make(map[string]bvconfig.Service, len(c.Services))
+	for _, s := range c.Services {
+		services[s.Name] = s
+	}
+	var us []Upstream
+	for _, u := range c.Upstreams {
+		if u.Zone != zone {
+			continue
+		}
+		s := services[u.Service]
+		us = append(us, Upstream{
+			ID: u.ID(), Service: u.Service, Slots: u.Slots, Connections: u.Connections, Leaving: u.Leaving,
+			Cold: s.ColdFlowsPerSecond, Warm: s.WarmFlowsPerSecond, WarmUp: s.WarmUp,
+		})
+	}
+	return us
+}
+
+// WarmState tells for how long an upstream has been taking flows.
+type WarmState struct {
+	Upstream bvconfig.UpstreamID
+	Age      time.Duration // Since its ramp started.
+}
+
+// service holds the upstreams of a service in the zone that are not leaving.
+type service struct {
+	members []*upstream
+}
+
+// upstream is the state of one upstream. Times are since Limiter.epoch.
+type upstream struct {
+	Upstream
+	service    *service
+	share      int // Of the connections; -1 sets no bound.
+	open       int
+	rampStart  time.Duration
+	tokens     float64
+	refilled   time.Duration
+	learnable  bool // The ramp may be replaced by what peers know.
+	learned    bool
+	window     [2]openings
+	windowAt   time.Duration // Start of window[0].
+	failures   int
+	ejectUntil time.Duration
+	reportedAt time.Duration
+	report     Report
+	reported   bool
+	bad        bool
+}
+
+// openings counts the openings sent to an upstream in a part of the window.
+type openings struct {
+	sent          int
+	retransmitted int
+}
+
+// Limiter holds the limits, as far as this balancer's share of them goes, of
+// the upstreams in its zone. It is not safe for concurrent use.
+type Limiter struct {
+	options    Options
+	epoch      time.Time
+	zone       string
+	balancers  float64
+	enabled    bool
+	upstreams  map[bvconfig.UpstreamID]*upstream
+	services   map[string]*service
+	tableLevel int
+	queueTicks int
+}
+
+// New returns a limiter without upstreams. Its share is not enabled.
+func New(o Options) *Limiter {
+	return &Limiter{options: o.withDefaults(), balancers: 1, upstreams: map[bvconfig.UpstreamID]*upstream{}}
+}
+
+func (l *Limiter) since(now time.Time) time.Duration { return now.Sub(l.epoch) }
+
+// SetUpstreams takes the upstreams of this balancer's zone and the largest
+// number of balancers published for it recently. New upstreams start cold;
+// the others keep their state.
+func (l *Limiter) SetUpstreams(now time.Time, zone string, us []Upstream, balancersInZoneMax int) {
+	if l.epoch.IsZero() {
+		l.epoch = now
+	}
+	l.zone = zone
+	n := max(balancersInZoneMax, 1)
+	if l.options.liveBalancers > 0 {
+		n = l.options.liveBalancers
+	}
+	l.balancers = float64(n)
+	old, at := l.upstreams, l.since(now)
+	l.upstreams, l.services = make(map[bvconfig.UpstreamID]*upstream, len(us)), map[string]*service{}
+	for _, u := range us {
+		x := old[u.ID]
+		if x == nil {
+			x = &upstream{rampStart: at, refilled: at, learnable: true}
+		}
+		x.Upstream = u
+		x.share = -1
+		if u.Connections > 0 {
+			x.share = int(u.Connections) / n
+		}
+		s := l.services[u.Service]
+		if s == nil {
+			s = &service{}
+			l.services[u.Service] = s
+		}
+		x.service = s
+		if !u.Leaving {
+			s.members = append(s.members, x)
+		}
+		l.upstreams[u.ID] = x
+	}
+}
+
+// SetShareEnabled tells whether this balancer may use its share. A joining
+// balancer may not until its peers know of it.
+func (l *Limiter) SetShareEnabled(enabled bool) {
+	l.enabled = enabled
+}
+
+// rate returns the new flows per second that the upstream may get from all
+// balancers at the given time; bounded is false if there is no bound.
+func (l *Limiter) rate(x *upstream, at time.Duration) (rate float64, bounded bool) {
+	age := at - x.rampStart
+	if age >= x.WarmUp || l.options.noRamp {
+		return x.Warm, x.Warm > 0
+	}
+	warm := x.Warm
+	if warm == 0 {
+		warm = x.Cold * coldGrowth
+	}
+	return x.Cold + (warm-x.Cold)*float64(max(age, 0))/float64(x.WarmUp), true
+}
+
+// take refills the upstream's bucket and takes one flow from it.
+func (l *Limiter) take(x *upstream, at time.Duration) bool {
+	rate, bounded := l.rate(x, at)
+	if !bounded {
+		return true
+	}
+	share := rate / l.balancers
+	if gap := at - x.refilled; gap > 0 {
+		// The rate rises linearly, so the mean of both ends is exact.
+		before, ok := l.rate(x, x.refilled)
+		if !ok {
+			before = rate
+		}
+		x.tokens += (rate + before) / 2 / l.balancers * gap.Seconds()
+		x.refilled = at
+	}
+	// At least one whole flow, so that a share below one per burst still lets
+	// flows through over time.
+	x.tokens = min(x.tokens, max(1, share*l.options.Burst.Seconds()))
+	if x.tokens < 1 {
+		return false
+	}
+	x.tokens--
+	return true
+}
+
+// Admit reports whether this balancer may place a new flow on u now, and takes
+// the flow from u's rate if so. It does not allocate.
+func (l *Limiter) Admit(now time.Time, u bvconfig.UpstreamID) bool {
+	x := l.upstreams[u]
+	if x == nil || x.Leaving || !l.enabled && !l.options.shareAlways {
+		return false
+	}
+	at := l.since(now)
+	if x.bad && l.ejected(x, at) {
+		return false
+	}
+	if x.share >= 0 && x.open >= x.share {
+		return false
+	}
+	if l.options.exemptIfNoWarm && l.allCold(x.service, at) {
+		return true
+	}
+	return l.take(x, at)
+}
+
+func (l *Limiter) allCold(s *service, at time.Duration) bool {
+	return !slices.ContainsFunc(s.members, func(x *upstream) bool { return at-x.rampStart >= x.WarmUp })
+}
+
+// ejected reports whether an upstream is left out because it appears
+// unhealthy. At most a third of a service is: when more appear unhealthy the
+// signal is likely at fault, and the rest could not carry the load.
+func (l *Limiter) ejected(x *upstream, at time.Duration) bool {
+	l.judge(x, at)
+	bad := 0
+	for _, o := range x.service.members {
+		if o.bad {
+			l.judge(o, at)
+		}
+		if o.bad {
+			bad++
+		}
+	}
+	return x.bad && (l.options.noPanic || 3*bad <= len(x.service.members))
+}
+
+// Opened records a new entry for a flow on u.
+func (l *Limiter) Opened(now time.Time, u bvconfig.UpstreamID) {
+	if x := l.upstreams[u]; x != nil {
+		x.open++
+		l.turn(x, l.since(now))
+		x.window[0].sent++
+	}
+}
+
+// Closed records that an entry for a flow on u has ended.
+func (l *Limiter) Closed(_ time.Time, u bvconfig.UpstreamID) {
+	if x := l.upstreams[u]; x != nil && x.open > 0 {
+		x.open--
+	}
+}
+
+// OpenFlows returns the number of this balancer's flows on u.
+func (l *Limiter) OpenFlows(u bvconfig.UpstreamID) int {
+	if x := l.upstreams[u]; x != nil {
+		return x.open
+	}
+	return 0
+}
+
+// Warm returns since when each upstream has been taking flows, for a joining
+// balancer.
+func (l *Limiter) Warm(now time.Time) []WarmState {
+	ws := make([]WarmState, 0, len(l.upstreams))
+	for id, x := range l.upstreams {
+		ws = append(ws, WarmState{Upstream: id, Age: max(l.since(now)-x.rampStart, 0)})
+	}
+	sortWarm(ws)
+	return ws
+}
+
+// LearnWarm takes the warm states of a peer. They replace the state of
+// upstreams that count as cold only because this balancer is new; of several
+// peers' answers the coldest holds. What this balancer has detected itself
+// stays.
+func (l *Limiter) LearnWarm(now time.Time, ws []WarmState) {
+	for _, w := range ws {
+		x := l.upstreams[w.Upstream]
+		if x == nil || !x.learnable || w.Age < 0 {
+			continue
+		}
+		start := l.since(now) - w.Age
+		if !x.learned || start > x.rampStart {
+			x.rampStart, x.learned = start, true
+		}
+	}
+}
