--- a/core/bvconfig/store_test.go
+++ b/core/bvconfig/store_test.go
@@ -189,18 +189,21 @@
 }
 
 // TestPromise10PlatformGone guards against a configuration that expires while
-// the platform is silent for a day.
+// the platform is silent for a day, and against a stale one when it is back.
 func TestPromise10PlatformGone(t *testing.T) {
-	s := NewStore(StoreOptions{})
-	s.Offer(revision(7, 0, 4), start)
-	day := start.Add(24 * time.Hour)
-	s.Prune(7)
-	b, ok := s.Base()
-	assert.True(t, ok)
-	assert.Equal(t, uint64(7), b.Config.Version.Revision)
-	assert.Equal(t, 2, s.Balancers(day, "a"))
-	assert.IsType(t, Older{}, s.Offer(revision(6, 0, 4), day), "a stale platform comes back")
-	assert.IsType(t, Accepted{}, s.Offer(revision(8, 0, 4), day))
+	for lastWins, want := range map[bool]uint64{false: 7, true: 6} {
+		s := NewStore(StoreOptions{lastWins: lastWins})
+		s.Offer(revision(7, 0, 4), start)
+		day := start.Add(24 * time.Hour)
+		s.Prune(7)
+		b, ok := s.Base()
+		assert.True(t, ok)
+		assert.Equal(t, uint64(7), b.Config.Version.Revision)
+		assert.Equal(t, 2, s.Balancers(day, "a"))
+		s.Offer(revision(6, 0, 4), day)
+		assert.Equal(t, want, s.Version().Revision, "a stale platform comes back")
+		assert.IsType(t, Accepted{}, s.Offer(revision(8, 0, 4), day))
+	}
 }
 
 // TestStoreOrder compares the store with the maximum of all offers.
--- a/core/bvmember/bvmember_test.go
+++ b/core/bvmember/bvmember_test.go
@@ -190,27 +190,38 @@
 	assert.Zero(t, reached)
 }
 
-// TestPromise10PlatformGone guards against nodes that stop when the platform
-// is gone for a day, and against a rush of reads in that time.
+// TestPromise10PlatformGone guards against nodes that stop or give up reading
+// while the platform is gone for a day, and against a rush of reads.
 func TestPromise10PlatformGone(t *testing.T) {
-	m := New(1, "a", 1, Options{})
-	c := config(1, "a", "a", "a")
-	m.SetBalancers(begin, c.Balancers)
-	m.SetState(begin, StateActive)
-	reads := 0
-	for now := begin; now.Before(begin.Add(24 * time.Hour)); now = now.Add(time.Second) {
-		m.Tick(now)
-		for _, b := range c.Balancers {
-			m.Heartbeat(now, Heartbeat{Node: b.ID(), Incarnation: 1, State: StateActive, PlatformAge: NoContact})
+	const day = 24 * time.Hour
+	run := func(o Options) (reads int, reached bool) {
+		c := config(1, "a", "a", "a")
+		self := bvconfig.NodeID(0)
+		for m := New(self, "a", 1, o); self == 0 || m.outranks(self, c.Balancers[0].ID()) || m.outranks(self, c.Balancers[1].ID()); {
+			self++
 		}
-		if m.ReadDue(now) {
-			reads++
+		m := New(self, "a", 1, o)
+		m.SetBalancers(begin, c.Balancers)
+		m.SetState(begin, StateActive)
+		for now := begin; now.Before(begin.Add(day + 90*time.Second)); now = now.Add(time.Second) {
+			m.Tick(now)
+			for _, b := range c.Balancers {
+				m.Heartbeat(now, Heartbeat{Node: b.ID(), Incarnation: 1, State: StateActive, PlatformAge: NoContact})
+			}
+			require.True(t, now.Sub(begin) < time.Second || !m.Watches())
+			if m.ReadDue(now) {
+				reads++
+				reached = now.After(begin.Add(day))
+			}
 		}
+		assert.Equal(t, StateActive, m.State())
+		return reads, reached
 	}
-	assert.Equal(t, StateActive, m.State())
-	if !m.Watches() {
-		assert.InDelta(t, 24*3600/75, reads, 200)
-	}
+	reads, reached := run(Options{})
+	assert.InDelta(t, day.Seconds()/75, reads, 100, "one read in 60 to 90 s")
+	assert.True(t, reached, "the platform is read soon after it is back")
+	_, reached = run(Options{noSilenceReading: true})
+	assert.False(t, reached)
 }
 
 // TestHealedPartition guards against a zone without an active node because
