--- a/core/bvconfig/store_test.go
+++ b/core/bvconfig/store_test.go
@@ -1,6 +1,7 @@
 package bvconfig
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"slices"
@@ -16,6 +17,23 @@
 
 var start = time.Unix(1_000_000, 0)
 
+func ExampleStore_Offer() {
+	s := NewStore(StoreOptions{Group: "serena"})
+	for _, c := range []Config{sample(2, 6, 4), sample(1, 6, 4)} {
+		switch o := s.Offer(c, start).(type) {
+		case Accepted:
+			fmt.Println("accepted", o.Version.Revision)
+		case Older:
+			fmt.Println("kept", o.Current.Revision)
+		case Invalid:
+			fmt.Println(o.Findings.Err())
+		}
+	}
+	// Output:
+	// accepted 2
+	// kept 2
+}
+
 // TestValidate guards against each fault that would let a wrong configuration
 // come into force.
 func TestValidate(t *testing.T) {
@@ -36,6 +54,7 @@
 		`unknown zone "x"`:                  func(c *Config) { c.Upstreams[0].Zone = "x" },
 		`unknown service "x"`:               func(c *Config) { c.Upstreams[0].Service = "x" },
 		`weight 0 is out of range`:          func(c *Config) { c.Upstreams[0].Weight = 0 },
+		`cannot be shared by 2 balancers`:   func(c *Config) { c.Upstreams[0].Connections = 1 },
 		`has no upstream`:                   func(c *Config) { c.Upstreams = nil },
 		`all zones of service "bench" are`:  func(c *Config) { c.Zones[0].OutOfService = true },
 		`zone "a" has upstreams but no`:     func(c *Config) { c.Balancers = nil },
@@ -170,18 +189,21 @@
 }
 
 // TestPromise10PlatformGone guards against a configuration that expires while
-// the platform is silent for a day.
+// the platform is silent for a day, and against a stale one when it is back.
 func TestPromise10PlatformGone(t *testing.T) {
-	s := NewStore(StoreOptions{})
-	s.Offer(revision(7, 0, 4), start)
-	day := start.Add(24 * time.Hour)
-	s.Prune(7)
-	b, ok := s.Base()
-	assert.True(t, ok)
-	assert.Equal(t, uint64(7), b.Config.Version.Revision)
-	assert.Equal(t, 2, s.Balancers(day, "a"))
-	assert.IsType(t, Older{}, s.Offer(revision(6, 0, 4), day), "a stale platform comes back")
-	assert.IsType(t, Accepted{}, s.Offer(revision(8, 0, 4), day))
+	for lastWins, want := range map[bool]uint64{false: 7, true: 6} {
+		s := NewStore(StoreOptions{lastWins: lastWins})
+		s.Offer(revision(7, 0, 4), start)
+		day := start.Add(24 * time.Hour)
+		s.Prune(7)
+		b, ok := s.Base()
+		assert.True(t, ok)
+		assert.Equal(t, uint64(7), b.Config.Version.Revision)
+		assert.Equal(t, 2, s.Balancers(day, "a"))
+		s.Offer(revision(6, 0, 4), day)
+		assert.Equal(t, want, s.Version().Revision, "a stale platform comes back")
+		assert.IsType(t, Accepted{}, s.Offer(revision(8, 0, 4), day))
+	}
 }
 
 // TestStoreOrder compares the store with the maximum of all offers.
@@ -232,6 +254,31 @@
 	assert.Equal(t, uint64(3), s.Version().Revision)
 }
 
+// TestStoreBaseRace guards against base lists that differ between nodes, which
+// saw different configurations of one revision before the next came.
+func TestStoreBaseRace(t *testing.T) {
+	run := func(o StoreOptions, apart time.Duration) bool {
+		var bases []Version
+		for content := range byte(2) {
+			s := NewStore(o)
+			s.Offer(revision(1, 0, 4), start)
+			s.Offer(revision(2, content, 4), start.Add(time.Hour))
+			s.Offer(revision(3, 0, 4), start.Add(time.Hour+apart))
+			for at := range 9 {
+				now := start.Add(time.Duration(at) * time.Hour)
+				if g, ok := s.BaseCandidate(now); ok {
+					require.NoError(t, s.SetBase(now, g.Config.Version.Revision))
+					bases = append(bases, g.Config.Version)
+					break
+				}
+			}
+		}
+		return bases[0] == bases[1]
+	}
+	assert.True(t, run(StoreOptions{}, time.Second))
+	assert.False(t, run(StoreOptions{unsettled: true}, time.Second))
+}
+
 // TestStoreBalancers guards against a share that rises while some balancer may
 // still work with the earlier list.
 func TestStoreBalancers(t *testing.T) {
