Prove the routing promises against a fleet of routers

Cause: the decision had no tests, and the first run of the fixture broke flows when a balancer died while a configuration was rolled out.

The replica set now includes the first two balancers of the base zone, the base-zone owner uses its records at once, the last replica hands a packet back when it does not know the upstream yet, and Base carries what has left the list.

Ruled out: dropping the opening until the replica has the configuration, since retries meet the same replica.

--- a/core/bvroute/bvroute.go
+++ b/core/bvroute/bvroute.go
@@ -70,6 +70,7 @@
 	leavingChecks                         // No new flows to leaving upstreams.
 	tombstones                            // Refusals are recorded.
 	certainRefusals                       // Only a long-time owner refuses.
+	handovers                             // Sweeps send records to new members.
 	openingWindow                         // Openings with payload are dropped after a change of owner.
 )
 
@@ -81,6 +82,7 @@
 	table   *bvflow.Table
 	limiter Limiter
 	removed removals
+	bases   []Base
 
 	view      *view
 	started   time.Time // Of the first picture.
@@ -120,7 +122,8 @@
 	if !r.enabled(leavingChecks) {
 		p.Config.Upstreams = notLeaving(p.Config.Upstreams)
 	}
-	v := newView(r.self, r.zone, p, r.removed)
+	v := newView(r.self, r.zone, p, r.removed, r.options.disabled)
+	r.bases = p.Bases
 	r.forgetRemovals(p.Bases)
 	old := r.view
 	r.view = v
--- a/core/bvroute/decision.go
+++ b/core/bvroute/decision.go
@@ -9,7 +9,7 @@
 // Limits of the tunnel options.
 const (
 	MaxVisited  = 4 // Nodes that a packet may visit.
-	MaxReplicas = 3 // Nodes that record an exception.
+	MaxReplicas = 5 // Nodes besides the owner that record an exception.
 )
 
 // Trail lists the nodes that have already had a packet, so that handing on
--- a/core/bvroute/members.go
+++ b/core/bvroute/members.go
@@ -33,33 +33,50 @@
 }
 
 // members returns the owner of k and its replica set: the second-ranked
-// balancer of the zone, the owner in the base zone, the owner in the
-// configured zone, and a joining balancer that ranks above the second. The
-// owner in the base zone is the one that every other balancer asks about a
-// flow that it does not know, whatever its configuration says.
+// balancer of the zone, the first two in the base zone, and joining balancers
+// that rank above these. The owner in the base zone is the one that every
+// other balancer asks about a flow that it does not know, whatever its
+// configuration says; the second one there takes over when the first dies
+// while a new configuration changes the zone of the flow.
 func (v *view) members(s *service, k bvflow.Key) (m members) {
-	configured, placing := v.placing(s, k)
-	var second *node
-	if placing >= 0 {
-		z := &v.zones[placing]
-		var order [2]int
-		n := bvpick.Rank(k, z.active, order[:])
-		m.add(&z.nodes[order[0]])
-		if n > 1 {
-			second = &z.nodes[order[1]]
-			m.add(second)
-		}
+	_, placing := v.placing(s, k)
+	zones := [2]int{placing, -1}
+	if len(s.bases) > 0 {
+		zones[1] = s.bases[0].zone(k)
+	}
+	var seconds [2]*node
+	for i, z := range zones {
+		seconds[i] = v.addFirstTwo(&m, k, z)
 	}
-	for i := range s.bases {
+	for i := 1; i < len(s.bases); i++ {
 		m.add(v.owner(k, s.bases[i].zone(k)))
 	}
-	m.add(v.owner(k, configured))
-	if placing >= 0 {
-		m.add(v.joiner(k, placing, second))
+	for i, z := range zones {
+		if z >= 0 {
+			m.add(v.joiner(k, z, seconds[i]))
+		}
 	}
 	return m
 }
 
+// addFirstTwo adds the two first-ranked balancers of a zone and returns the
+// second.
+func (v *view) addFirstTwo(m *members, k bvflow.Key, zone int) (second *node) {
+	if zone < 0 {
+		return nil
+	}
+	z := &v.zones[zone]
+	var order [2]int
+	n := bvpick.Rank(k, z.active, order[:])
+	for _, i := range order[:n] {
+		m.add(&z.nodes[i])
+	}
+	if n > 1 {
+		second = &z.nodes[order[1]]
+	}
+	return second
+}
+
 // joiner returns the first-ranked joining balancer of a zone if it ranks
 // above second.
 func (v *view) joiner(k bvflow.Key, zone int, second *node) *node {
@@ -78,13 +95,18 @@
 	return bvpick.Best(k, []bvpick.Candidate{bvpick.Balancer(a.ID), bvpick.Balancer(b.ID)}) == 0
 }
 
-// replicas returns a record's remaining members, without this node.
+// replicas returns a record's remaining members, without this node. Balancers
+// with another configuration come first: the last one sends the packet, and
+// they may not know its upstream yet.
 func (v *view) replicas(s *service, k bvflow.Key) (r Record) {
 	m := v.members(s, k)
-	for _, id := range m.ids[:m.count] {
-		if id != v.self && int(r.Count) < MaxReplicas {
-			r.Replicas[r.Count] = id
-			r.Count++
+	for _, other := range [2]bool{true, false} {
+		for _, id := range m.ids[:m.count] {
+			n, ok := v.peers[id]
+			if ok && n.OtherVersion == other && int(r.Count) < MaxReplicas {
+				r.Replicas[r.Count] = id
+				r.Count++
+			}
 		}
 	}
 	return r
--- a/core/bvroute/picture.go
+++ b/core/bvroute/picture.go
@@ -1,7 +1,9 @@
 package bvroute
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvmember"
@@ -30,9 +32,28 @@
 // list of the revision, with those that have gone since: their weight stays
 // in the sum of their zone, since a change of the sum would move the base
 // picks of other upstreams' flows.
+//
+// ZonesOut and Gone are what has left the list so far. The router adds to them
+// what it sees itself, and nothing comes back when a zone returns: flows that
+// were placed meanwhile count as base picks of the reduced list. A joining
+// node takes them from a peer's [Router.Bases].
 type Base struct {
 	Revision  uint64
 	Upstreams []bvconfig.Upstream
+	ZonesOut  []string
+	Gone      []bvconfig.UpstreamID
+}
+
+// Bases returns the base revisions of the picture, with all that has left
+// their lists.
+func (r *Router) Bases() []Base {
+	bases := slices.Clone(r.bases)
+	for i := range bases {
+		m := r.removed.of(bases[i].Revision)
+		bases[i].ZonesOut = slices.Sorted(maps.Keys(m.zones))
+		bases[i].Gone = slices.Sorted(maps.Keys(m.upstreams))
+	}
+	return bases
 }
 
 // Peer is a live balancer.
--- /dev/null
+++ b/core/bvroute/promise_test.go
@@ -0,0 +1,308 @@
+package bvroute
+
+import (
+	"testing"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// promiseCase is a sequence of faults. Its violations are counted with all
+// mechanisms, where there must be none, and without one of them, where there
+// must be some: otherwise the case would not detect the failure.
+type promiseCase struct {
+	name       string
+	without    mechanism
+	violations func(*fleet) int
+}
+
+func runPromise(t *testing.T, cases []promiseCase) {
+	t.Helper()
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Zero(t, c.violations(newFleet(t, 4, 0)), "the promise is broken")
+			assert.NotZero(t, c.violations(newFleet(t, 4, c.without)), "the case does not detect the failure")
+		})
+	}
+}
+
+// everything lets a balancer die, another one join, an upstream drain and two
+// start, while half of the nodes have the new configuration.
+func everything(f *fleet) int {
+	f.trace = f.disabled == 0
+	cs := f.openMany(0, 1000)
+	f.publish(both(drain("board0", "board3"), add("board", 20, 21)), 0.5)
+	cs = append(cs, f.openMany(1000, 1000)...)
+	n := f.broken(cs)
+	f.kill(f.nodes[5])
+	n += f.broken(cs)
+	f.join("n90", "b")
+	cs = append(cs, f.openMany(2000, 500)...)
+	n += f.broken(cs)
+	f.roll(1)
+	require.Equal(f, 2500, len(cs))
+	return n + f.broken(cs)
+}
+
+// TestPromise1EstablishedFlowsSurvive guards against flows that change their
+// upstream when balancers, upstreams and configurations change.
+func TestPromise1EstablishedFlowsSurvive(t *testing.T) {
+	runPromise(t, []promiseCase{
+		{"all changes together, without replicas", replication, everything},
+		{"all changes together, without base picks", basePicking, everything},
+		{"idle for an hour", basePicking, func(f *fleet) int {
+			cs := f.openMany(0, 1000)
+			f.publish(both(drain("board0"), add("board", 20, 21)), 1)
+			cs = append(cs, f.openMany(1000, 500)...)
+			f.kill(f.nodes[2])
+			f.sweep()
+			f.pass(time.Hour)
+			return f.broken(cs)
+		}},
+		{"active for longer than the idle timeout", refreshing, func(f *fleet) int {
+			f.publish(both(drain("board0"), add("board", 20, 21)), 1)
+			cs := f.openMany(0, 500)
+			n := 0
+			for range 30 {
+				f.pass(10 * time.Minute)
+				n += f.broken(cs)
+			}
+			f.kill(f.nodes[2])
+			return n + f.broken(cs)
+		}},
+		{"half-closed", basePicking, func(f *fleet) int {
+			cs := f.openMany(0, 500)
+			f.publish(both(drain("board0"), add("board", 20, 21)), 1)
+			cs = append(cs, f.openMany(500, 500)...)
+			n := 0
+			for _, c := range cs {
+				if d := f.send(c, bvflow.PhaseClosing, 0); d.Upstream != c.upstream {
+					n++
+				}
+			}
+			f.pass(10 * time.Minute)
+			return n + f.broken(cs)
+		}},
+		{"zone leaves and returns", replication, func(f *fleet) int {
+			f.publish(zoneOut("b", true), 1)
+			f.sweep()
+			cs := f.openMany(0, 500)
+			f.publish(zoneOut("b", false), 1)
+			cs = append(cs, f.openMany(500, 500)...)
+			n := f.broken(cs)
+			f.kill(f.nodes[0])
+			return n + f.broken(cs)
+		}},
+		{"base revision advances", handovers, func(f *fleet) int {
+			cs := f.openMany(0, 500)
+			f.publish(both(drain("board0", "board1"), add("board", 20, 21)), 1)
+			for _, r := range [][]Base{
+				{f.nodes[0].bases[0], {Revision: 9, Upstreams: f.config.Upstreams}}, {{Revision: 9, Upstreams: f.config.Upstreams}},
+			} {
+				for _, n := range f.nodes {
+					n.bases = r
+				}
+				f.refresh()
+				f.sweep()
+			}
+			f.kill(f.nodes[0])
+			return f.broken(cs)
+		}},
+	})
+}
+
+// TestPromise2AddressReused guards against packets that reach another
+// service after an address has got a new use.
+func TestPromise2AddressReused(t *testing.T) {
+	runPromise(t, []promiseCase{
+		{"upstream address", serviceChecks, func(f *fleet) int {
+			cs := f.openMany(0, 300)
+			f.config.Upstreams = f.config.Upstreams[2:] // Without board0 and feed0.
+			reused := newUpstream("feed", 30)
+			reused.Tunnel = newUpstream("board", 0).Tunnel
+			f.publish(func(c *bvconfig.Config) { c.Upstreams = append(c.Upstreams, reused) }, 1)
+			n := 0
+			for _, c := range cs {
+				if d := f.send(c, bvflow.PhaseEstablished, 1); d.Verdict == VerdictUpstream && d.Tunnel == reused.Tunnel {
+					n++
+				}
+			}
+			return n
+		}},
+		{"service address", serviceChecks, func(f *fleet) int {
+			cs := f.openMany(0, 300)
+			f.publish(func(c *bvconfig.Config) {
+				c.Services[1].Addresses = c.Services[0].Addresses
+				c.Services[1].Protocol = bvflow.ProtocolTCP
+				c.Services[0].Addresses = nil
+			}, 1)
+			n := 0
+			for _, c := range cs {
+				if d := f.send(c, bvflow.PhaseOpening, 0); d.Verdict == VerdictUpstream && d.VNI != 2 {
+					n++
+				}
+			}
+			return n
+		}},
+	})
+}
+
+// TestPromise4ZoneOut guards against packets to a zone that operators have
+// taken out.
+func TestPromise4ZoneOut(t *testing.T) {
+	runPromise(t, []promiseCase{{"zone out", zoneChecks, func(f *fleet) int {
+		cs := f.openMany(0, 500)
+		f.publish(zoneOut("b", true), 1)
+		n := 0
+		for i, c := range cs {
+			for _, d := range []Decision{f.send(c, bvflow.PhaseEstablished, 1), f.send(f.tcp(1000+i), bvflow.PhaseOpening, 0)} {
+				if d.Verdict == VerdictUpstream && f.zones[d.Upstream] == "b" {
+					n++
+				}
+			}
+		}
+		return n
+	}}})
+}
+
+func (f *fleet) fill(full bool) {
+	for _, n := range f.nodes {
+		n.limiter.none = full
+	}
+}
+
+// TestPromise6RefusalsAreTrue guards against refusals of requests that run.
+func TestPromise6RefusalsAreTrue(t *testing.T) {
+	runPromise(t, []promiseCase{
+		{"late copy of the opening", tombstones, func(f *fleet) int {
+			n, refused := 0, 0
+			for i := range 300 {
+				c := f.tcp(i)
+				f.fill(true)
+				if f.send(c, bvflow.PhaseOpening, 100).Verdict == VerdictRefuse {
+					refused++
+				}
+				f.fill(false)
+				if f.send(c, bvflow.PhaseOpening, 100).Verdict == VerdictUpstream {
+					n++
+				}
+			}
+			require.Equal(f, 300, refused)
+			return n
+		}},
+		{"owner dies before the late copy", replication, func(f *fleet) int {
+			f.fill(true)
+			for i := range 300 {
+				f.send(f.tcp(i), bvflow.PhaseOpening, 100)
+			}
+			f.kill(f.nodes[0])
+			f.fill(false)
+			n := 0
+			for i := range 300 {
+				if f.send(f.tcp(i), bvflow.PhaseOpening, 100).Verdict == VerdictUpstream {
+					n++
+				}
+			}
+			return n
+		}},
+		{"earlier owner has sent the opening", certainRefusals, func(f *fleet) int {
+			f.publish(func(c *bvconfig.Config) { c.Services[0].Idempotent = true }, 1)
+			f.pass(2 * time.Minute)
+			for i := range 300 {
+				f.send(f.tcp(i), bvflow.PhaseOpening, 100)
+			}
+			f.kill(f.nodes[0])
+			f.fill(true)
+			n := 0
+			for i := range 300 {
+				if f.send(f.tcp(i), bvflow.PhaseOpening, 100).Verdict == VerdictRefuse {
+					n++
+				}
+			}
+			return n
+		}},
+	})
+}
+
+// TestPromise7AtMostOnce guards against opening packets with a request that
+// reach two upstreams.
+func TestPromise7AtMostOnce(t *testing.T) {
+	for _, payload := range []struct {
+		name  string
+		phase bvflow.Phase
+		open  func(*fleet, int) *caller
+	}{
+		{"TCP fast open", bvflow.PhaseOpening, (*fleet).tcp}, {"UDP", bvflow.PhaseDatagram, (*fleet).udp},
+	} {
+		t.Run(payload.name, func(t *testing.T) {
+			runPromise(t, []promiseCase{{"owner changes between copies", openingWindow | replication, func(f *fleet) int {
+				const flows = 600
+				seen := make([]map[bvconfig.UpstreamID]bool, flows)
+				copies := func() {
+					for i := range flows {
+						if seen[i] == nil {
+							seen[i] = map[bvconfig.UpstreamID]bool{}
+						}
+						if d := f.send(payload.open(f, i), payload.phase, 100); d.Verdict == VerdictUpstream {
+							seen[i][d.Upstream] = true
+						}
+					}
+				}
+				change := both(both(drain("board0", "feed0"), add("board", 20, 22)), add("feed", 20, 22))
+				f.nodes[0].limiter.left[newUpstream("board", 1).ID()] = 3
+				f.nodes[0].limiter.left[newUpstream("feed", 1).ID()] = 3
+				copies()
+				f.publish(change, 0.5)
+				copies()
+				f.kill(f.nodes[3])
+				copies()
+				f.join("n90", "b")
+				copies()
+				f.roll(1)
+				copies()
+				f.pass(3 * time.Second)
+				copies()
+				n := 0
+				for _, s := range seen {
+					n += max(len(s)-1, 0)
+				}
+				return n
+			}}})
+		})
+	}
+}
+
+// TestPromise8LeavingUpstream guards against new flows to an upstream that is
+// leaving.
+func TestPromise8LeavingUpstream(t *testing.T) {
+	runPromise(t, []promiseCase{{"leaving", leavingChecks, func(f *fleet) int {
+		f.publish(drain("board0", "board1"), 1)
+		n := 0
+		for _, c := range f.openMany(0, 1000) {
+			if name := f.names[c.upstream]; name == "board0" || name == "board1" {
+				n++
+			}
+		}
+		return n
+	}}})
+}
+
+// TestPromise9PlannedStop guards against exceptions that are lost when the
+// owner and then the second-ranked balancer stop as planned.
+func TestPromise9PlannedStop(t *testing.T) {
+	runPromise(t, []promiseCase{{"three stops", handovers, func(f *fleet) int {
+		f.publish(both(drain("board0", "board1"), add("board", 20, 21)), 1)
+		cs := f.openMany(0, 1000)
+		n := 0
+		for range 3 {
+			f.pass(30 * time.Minute) // The flows are idle.
+			f.leave(f.nodes[0])
+			f.sweep()
+		}
+		return n + f.broken(cs)
+	}}})
+}
--- a/core/bvroute/record.go
+++ b/core/bvroute/record.go
@@ -36,12 +36,34 @@
 	case rec.Kind == RecordRefused:
 		return Decision{Verdict: VerdictRefuse, Reason: ReasonNoCapacity}
 	case t == nil:
-		return drop(ReasonUnknownUpstream)
+		return c.handBack(rec)
 	default:
 		return c.toUpstream(t)
 	}
 }
 
+// handBack returns a recorded packet to the owner that has placed it, or to
+// the last node that had it. The last replica does so while it does not have
+// the configuration with the upstream yet. Each step extends the trail, which
+// bounds them.
+func (c *passage) handBack(rec Record) Decision {
+	if c.trail.Count == 0 || c.trail.Count == MaxVisited {
+		return drop(ReasonUnknownUpstream)
+	}
+	to := c.trail.Visited[c.trail.Count-1]
+	if o := c.findOwner(); o != nil && c.trail.Contains(o.ID) {
+		to = o.ID
+	}
+	n, ok := c.view.peers[to]
+	if !ok {
+		return drop(ReasonUnknownUpstream)
+	}
+	return Decision{
+		Verdict: VerdictHandOn, Reason: ReasonUnknownUpstream, Next: n.ID, Tunnel: n.Tunnel,
+		Upstream: rec.Upstream, Trail: c.trail.With(c.self), Record: rec,
+	}
+}
+
 // conflict returns the reason for which a record contradicts what this node
 // knows: a refusal of a flow that has run, or the placement of a flow that
 // was refused or that has been sent to another upstream.
@@ -72,9 +94,11 @@
 		if e, err = c.table.Insert(c.now, c.key); err != nil {
 			return false
 		}
-	} else if e.Upstream != uint64(rec.Upstream) && e.Has(bvflow.FlagOwner) && !e.Has(bvflow.FlagAdopted) &&
-		!c.opening() && e.State <= bvflow.StateEstablished {
-		return true
+	} else if e.Has(bvflow.FlagOwner) && e.State <= bvflow.StateEstablished && rec.Kind == RecordPlaced {
+		mine := !e.Has(bvflow.FlagAdopted) && !c.opening()
+		if e.Upstream == uint64(rec.Upstream) || mine {
+			return true
+		}
 	}
 	if e.Upstream != uint64(rec.Upstream) || rec.Kind == RecordRefused {
 		c.uncount(c.now, e)
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -110,9 +110,10 @@
 }
 
 // mayUse reports whether the entry decides here. Otherwise the owner is asked
-// first: a replica's record is used only by the owner or for a packet that
-// was handed on, and a former owner's entry may be out of date once the
-// caller has closed the flow or has been silent for long.
+// first: a former owner's entry may be out of date once the caller has closed
+// the flow or has been silent for long, and a replica's record is for the time
+// when it becomes the owner. The owner in the base zone uses its record at
+// once, since the owner would come back to ask it.
 func (c *passage) mayUse(e *bvflow.Entry) bool {
 	closed := e.State == bvflow.StateClosed || e.State == bvflow.StateClosing && c.opening()
 	if e.Has(bvflow.FlagOwner) && !closed && c.idle(c.now, e) <= c.options.OpeningWindow {
@@ -121,18 +122,14 @@
 	if c.selfOwns() {
 		return true
 	}
-	if c.trail.Count > 0 && !closed {
-		return true
+	if closed {
+		return false
 	}
-	if e.Has(bvflow.FlagOwner) && !closed {
-		// Where the owner would come back to ask, the entry decides at once.
-		if c.swept != c.generation {
-			return true
-		}
-		o := c.view.owner(c.key, c.baseZone())
-		return o != nil && o.ID == c.self
+	if c.trail.Count > 0 || e.Has(bvflow.FlagOwner) && c.swept != c.generation {
+		return true
 	}
-	return false
+	o := c.view.owner(c.key, c.baseZone())
+	return o != nil && o.ID == c.self
 }
 
 func (c *passage) baseZone() int {
@@ -253,7 +250,7 @@
 	reason := ReasonNone
 	switch {
 	case t == nil:
-		reason = ReasonUnknownUpstream
+		return c.askMember()
 	case t.service != c.service && c.enabled(serviceChecks):
 		reason = ReasonUpstreamGone
 	default:
@@ -281,6 +278,22 @@
 	return c.send(e, t)
 }
 
+// askMember hands the packet of an exception whose upstream this node does
+// not know yet, for lack of the newest configuration, to another balancer that
+// has the exception.
+func (c *passage) askMember() Decision {
+	m := c.view.members(c.service, c.key)
+	for _, id := range m.ids[:m.count] {
+		if n, ok := c.view.peers[id]; ok && n.OtherVersion {
+			if d, ok := c.handTo(&n); ok {
+				d.Reason = ReasonUnknownUpstream
+				return d
+			}
+		}
+	}
+	return drop(ReasonUnknownUpstream)
+}
+
 // renewable reports whether an opening packet for a closed flow starts a new
 // flow. Within the opening window it may be a late copy of the old opening.
 func (c *passage) renewable(e *bvflow.Entry) bool {
--- a/core/bvroute/sweep.go
+++ b/core/bvroute/sweep.go
@@ -34,7 +34,7 @@
 // sweep are acknowledged. A leaving node hands over everything to the whole
 // replica set.
 func (r *Router) Handovers(now time.Time, cursor uint64, work int, into []Handover) (out []Handover, next uint64, done bool) {
-	if r.view == nil {
+	if r.view == nil || !r.enabled(handovers) {
 		return into, 0, true
 	}
 	next, done = r.table.Range(cursor, work, func(e *bvflow.Entry) bool {
@@ -111,8 +111,8 @@
 // limit exceptions and tombstones that peer needs once it is active, for the
 // answer to its sync request. It returns the cursor to go on from.
 func (r *Router) HandoversTo(now time.Time, peer bvconfig.NodeID, cursor uint64, work, limit int, into []Handover) (out []Handover, next uint64, done bool) {
-	if r.view == nil || limit <= 0 {
-		return into, cursor, r.view == nil
+	if r.view == nil || limit <= 0 || !r.enabled(handovers) {
+		return into, cursor, limit > 0
 	}
 	v := r.view.with(peer)
 	next, done = r.table.Range(cursor, work, func(e *bvflow.Entry) bool {
--- a/core/bvroute/view.go
+++ b/core/bvroute/view.go
@@ -99,12 +99,12 @@
 	peers     map[bvconfig.NodeID]node
 	synced    bool // With all active peers.
 	agreed    bool // All peers run the same configuration.
+	disabled  mechanism
 	ownership uint64
 }
 
 // removals remembers, for each base revision, the zones and upstreams that
-// have left its list. They do not come back when the zone returns: flows that
-// were placed meanwhile count as base picks of the reduced list.
+// have left its list; see [Base].
 type removals map[uint64]*removal
 
 type removal struct {
@@ -119,9 +119,10 @@
 	return m[revision]
 }
 
-func newView(self bvconfig.NodeID, selfZone string, p Picture, gone removals) *view {
+func newView(self bvconfig.NodeID, selfZone string, p Picture, gone removals, disabled mechanism) *view {
 	v := &view{
-		self: self, selfZone: -1, state: p.State, hasher: bvflow.NewHasher(p.Config.HashSeed),
+		disabled: disabled,
+		self:     self, selfZone: -1, state: p.State, hasher: bvflow.NewHasher(p.Config.HashSeed),
 		services: map[address]*service{}, byName: map[string]*service{},
 		upstreams: map[bvconfig.UpstreamID]*target{}, peers: map[bvconfig.NodeID]node{},
 		synced: true, agreed: true,
@@ -239,7 +240,7 @@
 	t := &target{id: id, name: u.Name, tunnel: u.Tunnel, service: v.byName[u.Service], zone: v.zoneIndex(u.Zone)}
 	holder, held := holders[u.Tunnel]
 	switch {
-	case t.service == nil, held && holder != id, slices.Contains(gone, id):
+	case t.service == nil, held && holder != id && v.disabled&serviceChecks == 0, slices.Contains(gone, id):
 		t.obstacle = ReasonUpstreamGone
 	case t.zone < 0 || v.zones[t.zone].out:
 		t.obstacle = ReasonZoneOut
@@ -250,6 +251,12 @@
 
 func (v *view) addBase(i int, b Base, gone *removal) {
 	weights := map[*service][]uint64{}
+	for _, z := range b.ZonesOut {
+		gone.zones[z] = true
+	}
+	for _, u := range b.Gone {
+		gone.upstreams[u] = true
+	}
 	for _, u := range b.Upstreams {
 		t := v.upstreams[u.ID()]
 		if t.zone < 0 || v.zones[t.zone].out {
