Add the control calls between peers

Cause: balancers have no way to sync, push and fetch configurations.

Change: bvpeer serves and calls the three procedures over connect with CBOR, authenticated by mutual TLS or by an HMAC over request and answer.

Ruled out: deadlines in the context of a call, because connect and net/http compare them with the system clock and not with the clock passed in.

--- /dev/null
+++ b/io/bvpeer/bvpeer.go
@@ -0,0 +1,158 @@
+// Package bvpeer carries the control calls between the balancers of a group:
+// sync, push and the fetching of configurations. Heartbeats are not among
+// them; they use UDP (package bvtunnel).
+//
+// Calls use connect over HTTP/1.1 with a CBOR codec. Peers authenticate each
+// other with mutual TLS, or, if no certificates are set, with an HMAC over
+// each request and answer under the group's shared key. Every call is bounded
+// in time; a call that is cut takes its connection with it.
+//
+// # Usage
+//
+//	server := bvpeer.NewServer(handler, credentials, clock)
+//	go server.Serve(ctx, listener)
+//	client := bvpeer.NewClient(self, credentials, clock, bvpeer.Options{})
+//	received, err := client.Sync(ctx, peer, cursor, limit)
+package bvpeer
+
+import (
+	"errors"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvnode"
+	"balsamvane/core/bvroute"
+	"balsamvane/io/bvplatform"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	procedureSync  = "/balsamvane.peer.v1.Peer/Sync"
+	procedurePush  = "/balsamvane.peer.v1.Peer/Push"
+	procedureFetch = "/balsamvane.peer.v1.Peer/FetchConfig"
+)
+
+const (
+	maxRequest = 1 << 20
+	// maxAnswer bounds a fetched configuration: 16 values of the platform.
+	maxAnswer = 16 << 20
+)
+
+// ErrRecords is returned for record lists whose length is no multiple of a
+// record's.
+var ErrRecords = errors.New("bvpeer: malformed list of records")
+
+// Handler answers the calls of peers. It is called from several goroutines.
+type Handler interface {
+	// Sync returns the records for the peer from cursor on, at most limit
+	// bytes of them.
+	Sync(from bvconfig.NodeID, cursor uint64, limit int) bvnode.SyncReceived
+	// Push stores the records before it returns.
+	Push(from bvconfig.NodeID, records []bvnode.FlowRecord)
+	// Bundle returns the accepted configuration; ok is false if there is none.
+	Bundle() (b bvplatform.Bundle, ok bool)
+}
+
+// codec encodes messages as CBOR.
+type codec struct {
+	decoding cbor.DecMode
+}
+
+func newCodec() codec {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxArrayElements: 65536,
+		MaxMapPairs:      1024,
+		MaxNestedLevels:  8,
+	}.DecMode()
+	if err != nil {
+		panic(err) // The options are constant.
+	}
+	return codec{decoding: m}
+}
+
+// Name implements connect.Codec.
+func (codec) Name() string { return "cbor" }
+
+// Marshal implements connect.Codec.
+func (codec) Marshal(v any) ([]byte, error) { return cbor.Marshal(v) }
+
+// Unmarshal implements connect.Codec.
+func (c codec) Unmarshal(b []byte, v any) error {
+	return eris.Wrap(c.decoding.Unmarshal(b, v), "bvpeer: decoding message")
+}
+
+// A placed record takes 24 bytes on the wire, key and upstream; a refusal
+// takes 16, its key.
+const (
+	placedSize  = 24
+	refusedSize = 16
+)
+
+// records is the wire form of a list of exceptions and refusals.
+type records struct {
+	Placed  []byte `cbor:"1,keyasint,omitempty"`
+	Refused []byte `cbor:"2,keyasint,omitempty"`
+}
+
+func encodeRecords(l []bvnode.FlowRecord) records {
+	var w records
+	for _, r := range l {
+		switch r.Kind {
+		case bvroute.RecordPlaced:
+			w.Placed = append(w.Placed, r.Key[:]...)
+			w.Placed = appendUint64(w.Placed, uint64(r.Upstream))
+		case bvroute.RecordRefused:
+			w.Refused = append(w.Refused, r.Key[:]...)
+		}
+	}
+	return w
+}
+
+func (w records) decode() ([]bvnode.FlowRecord, error) {
+	if len(w.Placed)%placedSize != 0 || len(w.Refused)%refusedSize != 0 {
+		return nil, ErrRecords
+	}
+	out := make([]bvnode.FlowRecord, 0, len(w.Placed)/placedSize+len(w.Refused)/refusedSize)
+	for b := w.Placed; len(b) > 0; b = b[placedSize:] {
+		out = append(out, bvnode.FlowRecord{
+			Key:      [16]byte(b[:16]),
+			Kind:     bvroute.RecordPlaced,
+			Upstream: bvconfig.UpstreamID(readUint64(b[16:])),
+		})
+	}
+	for b := w.Refused; len(b) > 0; b = b[refusedSize:] {
+		out = append(out, bvnode.FlowRecord{Key: [16]byte(b[:16]), Kind: bvroute.RecordRefused})
+	}
+	return out, nil
+}
+
+type warmState struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream uint64
+	Age      uint64 // Milliseconds.
+}
+
+func encodeWarm(l []bvnode.WarmState) []warmState {
+	out := make([]warmState, 0, len(l))
+	for _, s := range l {
+		out = append(out, warmState{Upstream: uint64(s.Upstream), Age: uint64(max(s.Age, 0) / time.Millisecond)})
+	}
+	return out
+}
+
+func decodeWarm(l []warmState) []bvnode.WarmState {
+	const maxAge = uint64(1<<63-1) / uint64(time.Millisecond)
+	out := make([]bvnode.WarmState, 0, len(l))
+	for _, s := range l {
+		out = append(out, bvnode.WarmState{
+			Upstream: bvconfig.UpstreamID(s.Upstream),
+			Age:      time.Duration(min(s.Age, maxAge)) * time.Millisecond,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/io/bvpeer/credentials.go
@@ -0,0 +1,184 @@
+package bvpeer
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"balsamvane/io/bvtunnel"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+)
+
+// Credentials are how peers know each other. If TLS is set it is used, and
+// otherwise the shared key.
+type Credentials struct {
+	TLS  *TLSFiles
+	Keys bvtunnel.KeySource
+}
+
+const (
+	authHeader = "Balsamvane-Authentication"
+	// maxSkew is how old a signed request may be; it bounds replays, and the
+	// clocks of the VMs must agree within it.
+	maxSkew = 30 * time.Second
+)
+
+// errAnswer is returned for answers that are not signed with the shared key.
+var errAnswer = errors.New("bvpeer: answer is not authenticated")
+
+// sign returns the HMAC over the fields under a key that is derived from k, so
+// that tunnel MACs and control signatures are independent.
+func sign(k bvtunnel.Key, fields ...[]byte) []byte {
+	d := hmac.New(sha256.New, k[:])
+	_, _ = d.Write([]byte("balsamvane control"))
+	h := hmac.New(sha256.New, d.Sum(nil))
+	for _, f := range fields {
+		_, _ = h.Write(appendUint64(nil, uint64(len(f))))
+		_, _ = h.Write(f)
+	}
+	return h.Sum(nil)
+}
+
+// verify checks mac under the current key and the one before it.
+func verify(k *bvtunnel.Keys, mac []byte, fields ...[]byte) bool {
+	if hmac.Equal(mac, sign(k.Current, fields...)) {
+		return true
+	}
+	return k.HasPrevious && hmac.Equal(mac, sign(k.Previous, fields...))
+}
+
+func requestFields(r *http.Request, at string, body []byte) [][]byte {
+	return [][]byte{[]byte("request"), []byte(r.Method), []byte(r.URL.Path), []byte(at), body}
+}
+
+// signing signs requests and checks the signatures of answers.
+type signing struct {
+	next  http.RoundTripper
+	keys  bvtunnel.KeySource
+	clock clockwork.Clock
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s signing) RoundTrip(r *http.Request) (*http.Response, error) {
+	k := s.keys.Keys()
+	if k == nil {
+		return nil, bvtunnel.ErrNoKey
+	}
+	body, err := readBounded(r.Body, maxRequest)
+	if err != nil {
+		return nil, err
+	}
+	at := strconv.FormatInt(s.clock.Now().UnixMilli(), 10)
+	out := r.Clone(r.Context())
+	out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+	mac := sign(k.Current, requestFields(out, at, body)...)
+	out.Header.Set(authHeader, at+"."+hex.EncodeToString(mac))
+	resp, err := s.next.RoundTrip(out)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := readBounded(resp.Body, maxAnswer)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(answer))
+	if resp.StatusCode == http.StatusUnauthorized {
+		// The peer does not know our key, so it cannot sign.
+		return resp, nil
+	}
+	got, err := hex.DecodeString(resp.Header.Get(authHeader))
+	if err != nil || !verify(k, got, []byte("answer"), mac, []byte(strconv.Itoa(resp.StatusCode)), answer) {
+		return nil, errAnswer
+	}
+	return resp, nil
+}
+
+func readBounded(r io.ReadCloser, limit int64) ([]byte, error) {
+	if r == nil {
+		return nil, nil
+	}
+	defer func() { _ = r.Close() }()
+	b, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "bvpeer: reading message")
+	}
+	if int64(len(b)) > limit {
+		return nil, eris.Errorf("bvpeer: message is larger than %d bytes", limit)
+	}
+	return b, nil
+}
+
+// authenticated lets only signed requests through and signs the answers.
+func authenticated(next http.Handler, keys bvtunnel.KeySource, clock clockwork.Clock) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		k := keys.Keys()
+		body, err := readBounded(r.Body, maxRequest)
+		if k == nil || err != nil {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		mac, ok := checkRequest(r, body, k, clock.Now())
+		if !ok {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		buffered := &bufferedAnswer{header: w.Header(), status: http.StatusOK}
+		next.ServeHTTP(buffered, r)
+		answer := buffered.body.Bytes()
+		// Sign with the key that the request was signed with: the peer may
+		// not have read a changed key file yet.
+		key := k.Current
+		if !hmac.Equal(mac, sign(key, requestFields(r, requestTime(r), body)...)) {
+			key = k.Previous
+		}
+		sum := sign(key, []byte("answer"), mac, []byte(strconv.Itoa(buffered.status)), answer)
+		w.Header().Set(authHeader, hex.EncodeToString(sum))
+		w.WriteHeader(buffered.status)
+		_, _ = w.Write(answer)
+	})
+}
+
+func requestTime(r *http.Request) string {
+	at, _, _ := strings.Cut(r.Header.Get(authHeader), ".")
+	return at
+}
+
+// checkRequest returns the request's MAC and whether it is right and recent.
+func checkRequest(r *http.Request, body []byte, k *bvtunnel.Keys, now time.Time) ([]byte, bool) {
+	at, sum, _ := strings.Cut(r.Header.Get(authHeader), ".")
+	ms, err := strconv.ParseInt(at, 10, 64)
+	if err != nil || now.Sub(time.UnixMilli(ms)).Abs() > maxSkew {
+		return nil, false
+	}
+	mac, err := hex.DecodeString(sum)
+	if err != nil {
+		return nil, false
+	}
+	return mac, verify(k, mac, requestFields(r, at, body)...)
+}
+
+// bufferedAnswer holds an answer until it is signed.
+type bufferedAnswer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (b *bufferedAnswer) Header() http.Header { return b.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (b *bufferedAnswer) WriteHeader(status int) { b.status = status }
+
+// Write implements http.ResponseWriter.
+func (b *bufferedAnswer) Write(p []byte) (int, error) { return b.body.Write(p) }
--- /dev/null
+++ b/io/bvpeer/server.go
@@ -0,0 +1,137 @@
+package bvpeer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"balsamvane/core/bvconfig"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+)
+
+func appendUint64(b []byte, v uint64) []byte { return binary.BigEndian.AppendUint64(b, v) }
+
+func readUint64(b []byte) uint64 { return binary.BigEndian.Uint64(b) }
+
+type syncRequest struct {
+	From   uint64 `cbor:"1,keyasint"`
+	Cursor uint64 `cbor:"2,keyasint,omitempty"`
+	Limit  uint32 `cbor:"3,keyasint"`
+}
+
+type syncAnswer struct {
+	From         uint64      `cbor:"1,keyasint"`
+	Records      records     `cbor:"2,keyasint"`
+	Warm         []warmState `cbor:"3,keyasint,omitempty"`
+	BaseRevision uint64      `cbor:"4,keyasint,omitempty"`
+	Cursor       uint64      `cbor:"5,keyasint,omitempty"`
+	Done         bool        `cbor:"6,keyasint,omitempty"`
+}
+
+type pushRequest struct {
+	From    uint64  `cbor:"1,keyasint"`
+	Records records `cbor:"2,keyasint"`
+}
+
+type pushAnswer struct{}
+
+// fetchRequest names the parts that the asking balancer has already, so that
+// an answer carries only what has changed.
+type fetchRequest struct {
+	Have []string `cbor:"1,keyasint,omitempty"`
+}
+
+type fetchAnswer struct {
+	Manifest []byte            `cbor:"1,keyasint"`
+	Parts    map[string][]byte `cbor:"2,keyasint,omitempty"`
+}
+
+// Server answers the calls of peers.
+type Server struct {
+	handler     Handler
+	credentials Credentials
+	clock       clockwork.Clock
+}
+
+// NewServer returns a server.
+func NewServer(h Handler, c Credentials, clock clockwork.Clock) *Server {
+	return &Server{handler: h, credentials: c, clock: clock}
+}
+
+// HTTP returns the server as an HTTP handler that checks the shared key, or
+// leaves the check to TLS if certificates are set.
+func (s *Server) HTTP() http.Handler {
+	o := []connect.HandlerOption{connect.WithCodec(newCodec()), connect.WithReadMaxBytes(maxRequest)}
+	m := http.NewServeMux()
+	m.Handle(procedureSync, connect.NewUnaryHandler(procedureSync, s.sync, o...))
+	m.Handle(procedurePush, connect.NewUnaryHandler(procedurePush, s.push, o...))
+	m.Handle(procedureFetch, connect.NewUnaryHandler(procedureFetch, s.fetch, o...))
+	if s.credentials.TLS != nil {
+		return m
+	}
+	return authenticated(m, s.credentials.Keys, s.clock)
+}
+
+// Serve answers calls from l until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	if s.credentials.TLS != nil {
+		l = tls.NewListener(l, s.credentials.TLS.server())
+	}
+	h := &http.Server{
+		Handler:           s.HTTP(),
+		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       10 * time.Second,
+		WriteTimeout:      30 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    16 << 10,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
+	defer stop()
+	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "bvpeer: serving")
+	}
+	return nil
+}
+
+func (s *Server) sync(_ context.Context, r *connect.Request[syncRequest]) (*connect.Response[syncAnswer], error) {
+	a := s.handler.Sync(bvconfig.NodeID(r.Msg.From), r.Msg.Cursor, int(min(r.Msg.Limit, maxRequest)))
+	return connect.NewResponse(&syncAnswer{
+		From:         uint64(a.From),
+		Records:      encodeRecords(a.Records),
+		Warm:         encodeWarm(a.Warm),
+		BaseRevision: a.BaseRevision,
+		Cursor:       a.Cursor,
+		Done:         a.Done,
+	}), nil
+}
+
+func (s *Server) push(_ context.Context, r *connect.Request[pushRequest]) (*connect.Response[pushAnswer], error) {
+	l, err := r.Msg.Records.decode()
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	s.handler.Push(bvconfig.NodeID(r.Msg.From), l)
+	return connect.NewResponse(&pushAnswer{}), nil
+}
+
+func (s *Server) fetch(_ context.Context, r *connect.Request[fetchRequest]) (*connect.Response[fetchAnswer], error) {
+	b, ok := s.handler.Bundle()
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("bvpeer: no configuration has been accepted"))
+	}
+	a := &fetchAnswer{Manifest: b.Manifest, Parts: map[string][]byte{}}
+	for k, p := range b.Parts {
+		if !slices.Contains(r.Msg.Have, k) {
+			a.Parts[k] = p
+		}
+	}
+	return connect.NewResponse(a), nil
+}
--- a/io/bvplatform/bvplatform.go
+++ b/io/bvplatform/bvplatform.go
@@ -221,21 +221,62 @@
 
 // manifest is the part of the published manifest that reading needs.
 type manifest struct {
-	Parts []struct {
-		Key    string `json:"key"`
-		SHA256 string `json:"sha256"`
-		Size   int64  `json:"size"`
-	} `json:"parts"`
+	Parts []part `json:"parts"`
 }
 
-// bundle reads the parts that a manifest names and that are not cached.
-func (c *Client) bundle(ctx context.Context, b []byte) (Bundle, error) {
+type part struct {
+	Key    string `json:"key"`
+	SHA256 string `json:"sha256"`
+	Size   int64  `json:"size"`
+}
+
+func (p part) check(body []byte) error {
+	if sum := sha256.Sum256(body); int64(len(body)) != p.Size || hex.EncodeToString(sum[:]) != p.SHA256 {
+		return eris.Wrapf(ErrHash, "checking part %s", p.Key)
+	}
+	return nil
+}
+
+func decodeManifest(b []byte) (manifest, error) {
 	var m manifest
 	if err := json.Unmarshal(b, &m); err != nil {
-		return Bundle{}, eris.Wrap(ErrManifest, err.Error())
+		return m, eris.Wrap(ErrManifest, err.Error())
 	}
 	if len(m.Parts) > maxParts {
-		return Bundle{}, eris.Wrapf(ErrManifest, "%d parts are more than %d", len(m.Parts), maxParts)
+		return m, eris.Wrapf(ErrManifest, "%d parts are more than %d", len(m.Parts), maxParts)
+	}
+	return m, nil
+}
+
+// Check compares the parts with the sizes and hashes in the manifest. Parts
+// that the manifest does not name are an error too.
+func (b Bundle) Check() error {
+	m, err := decodeManifest(b.Manifest)
+	if err != nil {
+		return err
+	}
+	named := make(map[string]bool, len(m.Parts))
+	for _, p := range m.Parts {
+		body, ok := b.Parts[p.Key]
+		if !ok {
+			return eris.Wrapf(ErrAbsent, "checking part %s", p.Key)
+		}
+		if err := p.check(body); err != nil {
+			return err
+		}
+		named[p.Key] = true
+	}
+	if len(named) != len(b.Parts) {
+		return eris.Wrap(ErrManifest, "parts that the manifest does not name")
+	}
+	return nil
+}
+
+// bundle reads the parts that a manifest names and that are not cached.
+func (c *Client) bundle(ctx context.Context, b []byte) (Bundle, error) {
+	m, err := decodeManifest(b)
+	if err != nil {
+		return Bundle{}, err
 	}
 	out := Bundle{Manifest: b, Parts: make(map[string][]byte, len(m.Parts))}
 	cached := make(map[string][]byte, len(m.Parts))
@@ -248,8 +289,8 @@
 			}
 			body = v.body
 		}
-		if sum := sha256.Sum256(body); int64(len(body)) != p.Size || hex.EncodeToString(sum[:]) != p.SHA256 {
-			return Bundle{}, eris.Wrapf(ErrHash, "reading part %s", p.Key)
+		if err := p.check(body); err != nil {
+			return Bundle{}, err
 		}
 		out.Parts[p.Key], cached[p.SHA256] = body, body
 	}
@@ -265,3 +306,22 @@
 	b, ok := c.parts[hash]
 	return b, ok
 }
+
+// Assemble returns the configuration that a manifest names, with parts taken
+// from the lists given, and checks it.
+func Assemble(manifest []byte, lists ...map[string][]byte) (Bundle, error) {
+	m, err := decodeManifest(manifest)
+	if err != nil {
+		return Bundle{}, err
+	}
+	b := Bundle{Manifest: manifest, Parts: make(map[string][]byte, len(m.Parts))}
+	for _, p := range m.Parts {
+		for _, l := range lists {
+			if body, ok := l[p.Key]; ok {
+				b.Parts[p.Key] = body
+				break
+			}
+		}
+	}
+	return b, b.Check()
+}
--- a/io/bvplatform/bvplatform_test.go
+++ b/io/bvplatform/bvplatform_test.go
@@ -24,7 +24,6 @@
 	revision uint64
 	values   map[string]string
 	reads    map[string]int
-	watches  int
 	silent   bool
 	changed  chan struct{}
 	called   chan struct{}
