Compose the node, and share limits by all balancers of the window

Cause: the packages of the core had no composition; and the shares of a limit added up to 1.5 when a cut-off balancer was replaced. Change: core/bvnode joins configuration, membership, limits, routing and the transfer of records; shares are divided by the number of different balancers published within the window, so a replaced one still counts. Ruled out: no share for ten minutes after each replacement, which would leave a zone with one balancer without service.

--- a/core/bvconfig/store.go
+++ b/core/bvconfig/store.go
@@ -86,9 +86,9 @@
 	Since  time.Time
 }
 
-// balancerCount is a superseded number of balancers in each zone.
-type balancerCount struct {
-	zones map[string]int
+// formerBalancers are the balancers of a superseded configuration.
+type formerBalancers struct {
+	list  []Balancer
 	until time.Time
 }
 
@@ -99,7 +99,7 @@
 	options     StoreOptions
 	generations []Generation // In the order of versions; the last is in force.
 	base        int          // Index of the base in generations.
-	history     []balancerCount
+	history     []formerBalancers
 }
 
 // NewStore returns an empty store.
@@ -175,32 +175,34 @@
 }
 
 func (s *Store) supersede(old Config, now time.Time) {
-	n := balancerCount{zones: map[string]int{}, until: now.Add(s.options.ShareWindow)}
-	for _, b := range old.Balancers {
-		n.zones[b.Zone]++
-	}
-	s.history = slices.DeleteFunc(s.history, func(h balancerCount) bool { return !h.until.After(now) })
-	if len(n.zones) > 0 {
-		s.history = append(s.history, n)
+	s.history = slices.DeleteFunc(s.history, func(h formerBalancers) bool { return !h.until.After(now) })
+	if len(old.Balancers) > 0 {
+		s.history = append(s.history, formerBalancers{old.Balancers, now.Add(s.options.ShareWindow)})
 	}
 }
 
-// Balancers returns the largest number of balancers published for the zone in
-// the configuration in force and those superseded within the share window.
+// Balancers returns the number of different balancers published for the zone
+// in the configuration in force and those superseded within the share window.
+// A balancer that was replaced counts with its replacement, since it may be
+// cut off and still use its share.
 func (s *Store) Balancers(now time.Time, zone string) int {
-	n := 0
-	c, _ := s.Current()
-	for _, b := range c.Balancers {
-		if b.Zone == zone {
-			n++
+	names := map[string]bool{}
+	count := func(bs []Balancer) {
+		for _, b := range bs {
+			if b.Zone == zone {
+				names[b.Name] = true
+			}
 		}
 	}
+	if c, ok := s.Current(); ok {
+		count(c.Balancers)
+	}
 	for _, h := range s.history {
 		if h.until.After(now) {
-			n = max(n, h.zones[zone])
+			count(h.list)
 		}
 	}
-	return n
+	return len(names)
 }
 
 // Base returns the generation whose upstream lists give the base picks.
--- a/core/bvconfig/store_test.go
+++ b/core/bvconfig/store_test.go
@@ -289,3 +289,16 @@
 	assert.Equal(t, 2, s.Balancers(start.Add(time.Hour+ShareWindow), "a"))
 	assert.Equal(t, 0, s.Balancers(start, "x"))
 }
+
+// TestStoreBalancersReplaced guards against shares that add up to more than a
+// limit while a balancer that was replaced is cut off and does not know.
+func TestStoreBalancersReplaced(t *testing.T) {
+	s := NewStore(StoreOptions{})
+	s.Offer(revision(1, 0, 8), start)
+	c := revision(2, 0, 8)
+	c.Balancers[0].Name = "replacement"
+	require.IsType(t, Accepted{}, s.Offer(c, start.Add(time.Hour)))
+	zone := c.Balancers[0].Zone
+	assert.Equal(t, 5, s.Balancers(start.Add(time.Hour), zone))
+	assert.Equal(t, 4, s.Balancers(start.Add(time.Hour+ShareWindow), zone))
+}
--- a/core/bvmember/heartbeat.go
+++ b/core/bvmember/heartbeat.go
@@ -35,3 +35,17 @@
 	Node        bvconfig.NodeID
 	Incarnation uint64
 }
+
+// String returns the state's name as it appears in dumps.
+func (s State) String() string {
+	switch s {
+	case StateJoining:
+		return "joining"
+	case StateActive:
+		return "active"
+	case StateLeaving:
+		return "leaving"
+	default:
+		return "unknown"
+	}
+}
--- a/core/bvnode/action.go
+++ b/core/bvnode/action.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvmember"
@@ -19,10 +18,19 @@
 }
 
 // FetchConfig reads the configuration from a peer; the answer comes back as
-// [ConfigOffered].
+// [ConfigOffered] with the same token. From is 0 for a seed address.
 type FetchConfig struct {
 	From    bvconfig.NodeID
 	Control netip.AddrPort
+	Token   uint64
+}
+
+// FetchBase reads an earlier configuration from a peer; the answer comes back
+// as [BaseReceived].
+type FetchBase struct {
+	From     bvconfig.NodeID
+	Control  netip.AddrPort
+	Revision uint64
 }
 
 // WatchPlatform starts or stops the watch on the platform. The node sends it
@@ -31,9 +39,10 @@
 	Enabled bool
 }
 
-// ReadPlatform reads the platform once after Delay.
+// ReadPlatform reads the platform once; the answer comes back as
+// [ConfigOffered] or [PlatformContacted] with the same token.
 type ReadPlatform struct {
-	Delay time.Duration
+	Token uint64
 }
 
 // RequestSync asks a peer for records from Cursor on; the answer comes back as
@@ -68,6 +77,7 @@
 
 func (SendHeartbeat) action() {}
 func (FetchConfig) action()   {}
+func (FetchBase) action()     {}
 func (WatchPlatform) action() {}
 func (ReadPlatform) action()  {}
 func (RequestSync) action()   {}
--- a/core/bvnode/event.go
+++ b/core/bvnode/event.go
@@ -20,16 +20,32 @@
 	Heartbeat bvmember.Heartbeat
 }
 
-// ConfigOffered carries a valid configuration read from the platform or from
-// a peer. FromPlatform marks a successful platform read.
+// ConfigOffered carries a configuration read from the platform or from a
+// peer. FromPlatform marks a successful platform read. Token is that of the
+// [FetchConfig] or [ReadPlatform] which it answers, and 0 for a watch.
 type ConfigOffered struct {
 	Config       bvconfig.Config
 	FromPlatform bool
+	Token        uint64
 }
 
 // PlatformContacted tells that the platform answered, also when there was
-// nothing new.
-type PlatformContacted struct{}
+// nothing new. Token is that of the [ReadPlatform], and 0 for a watch.
+type PlatformContacted struct {
+	Token uint64
+}
+
+// BaseReceived carries an earlier configuration, whose upstream lists a peer
+// uses for its base picks. Age is how long ago it came into force there.
+type BaseReceived struct {
+	Config bvconfig.Config
+	Age    time.Duration
+}
+
+// QueueChanged tells whether the queue of packets is over its bound.
+type QueueChanged struct {
+	Over bool
+}
 
 // VMListRead carries the platform's lagging list of VMs.
 type VMListRead struct {
@@ -127,6 +143,8 @@
 func (HeartbeatReceived) event() {}
 func (ConfigOffered) event()     {}
 func (PlatformContacted) event() {}
+func (BaseReceived) event()      {}
+func (QueueChanged) event()      {}
 func (VMListRead) event()        {}
 func (ProbeSucceeded) event()    {}
 func (ProbeFailed) event()       {}
--- /dev/null
+++ b/core/bvnode/picture.go
@@ -0,0 +1,202 @@
+package bvnode
+
+import (
+	"slices"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvfinding"
+	"balsamvane/core/bvlimit"
+	"balsamvane/core/bvmember"
+	"balsamvane/core/bvroute"
+)
+
+// bvconfigFindings is what the last configuration that was refused, or
+// published twice, had wrong.
+type bvconfigFindings struct {
+	version bvconfig.Version
+	list    bvfinding.List
+}
+
+// offer takes a configuration. One that fails its checks leaves the accepted
+// one in force.
+func (n *Node) offer(now time.Time, c bvconfig.Config) {
+	before, _ := n.store.Current()
+	switch o := n.store.Offer(c, now).(type) {
+	case bvconfig.Accepted:
+		n.accepted(now, before, c)
+	case bvconfig.Conflict:
+		n.findings = bvconfigFindings{version: o.Offered, list: conflictFinding(c)}
+		if o.Adopted {
+			n.accepted(now, before, c)
+		}
+	case bvconfig.Invalid:
+		n.findings = bvconfigFindings{version: o.Offered, list: o.Findings}
+		n.members.Reject(o.Offered)
+	case bvconfig.Older, bvconfig.Same:
+	}
+}
+
+func conflictFinding(c bvconfig.Config) bvfinding.List {
+	var l bvfinding.List
+	l.Add(bvfinding.Place{File: bvconfig.ManifestKey(c.Group)},
+		"the revision has been published twice with different contents", "publish the intended configuration under a higher revision")
+	return l
+}
+
+func (n *Node) accepted(now time.Time, before, c bvconfig.Config) {
+	if n.knownSince.IsZero() {
+		n.knownSince = now
+	}
+	n.retire(before, c)
+	n.members.SetBalancers(now, c.Balancers)
+	listed := slices.ContainsFunc(c.Balancers, func(b bvconfig.Balancer) bool { return b.ID() == n.self })
+	switch {
+	case !listed:
+		n.listedAt = 0
+	case n.listedAt == 0:
+		n.listedAt = c.Version.Revision
+	}
+	n.stale = true
+}
+
+// retire remembers upstreams that the configuration no longer has. They go on
+// serving their flows until their VM is gone.
+func (n *Node) retire(before, c bvconfig.Config) {
+	for _, u := range before.Upstreams {
+		n.retired[u.ID()] = u
+	}
+	for _, u := range c.Upstreams {
+		delete(n.retired, u.ID())
+	}
+	n.forgetGone()
+}
+
+func (n *Node) readVMs(vms []VM) {
+	n.vms = make(map[string]VMState, len(vms))
+	for _, v := range vms {
+		n.vms[v.Name] = v.State
+	}
+	before := len(n.retired)
+	n.forgetGone()
+	n.stale = n.stale || len(n.retired) != before
+}
+
+// forgetGone drops retired upstreams whose VM is gone. The list of VMs lags,
+// so it is believed only where the register agrees.
+func (n *Node) forgetGone() {
+	for id, u := range n.retired {
+		if s, ok := n.vms[u.Name]; n.vms != nil && (!ok || s == VMGone) {
+			delete(n.retired, id)
+		}
+	}
+}
+
+// compile builds the picture on which the router decides, and returns the
+// actions that follow from it.
+func (n *Node) compile(now time.Time) []Action {
+	c, ok := n.store.Current()
+	if !ok {
+		return nil
+	}
+	n.adoptLowestBase()
+	base, _ := n.store.Base()
+	n.members.SetVersion(c.Version, base.Config.Version.Revision)
+	n.store.Prune(n.members.LowestBase())
+	p := bvroute.Picture{State: n.members.State(), Config: c, Bases: n.basesInUse(base)}
+	for _, u := range n.retired {
+		p.Retired = append(p.Retired, u)
+	}
+	slices.SortFunc(p.Retired, func(a, b bvconfig.Upstream) int { return compareIDs(a.ID(), b.ID()) })
+	for _, m := range n.members.Peers() {
+		if m.Alive {
+			p.Peers = append(p.Peers, bvroute.Peer{
+				ID: m.Node, Zone: m.Zone, State: m.State, Tunnel: m.Tunnel, InSync: m.InSync,
+				OtherVersion: m.Version != c.Version,
+			})
+		}
+	}
+	n.router.SetPicture(now, p)
+	n.limiter.SetUpstreams(now, n.options.Zone, bvlimit.UpstreamsOf(c, n.options.Zone), n.store.Balancers(now, n.options.Zone))
+	return []Action{n.probes(c)}
+}
+
+func compareIDs(a, b bvconfig.UpstreamID) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// adoptLowestBase moves a joining node's base down to that of its peers.
+func (n *Node) adoptLowestBase() {
+	low := uint64(0)
+	for _, p := range n.members.Peers() {
+		if p.Alive && p.State == bvmember.StateActive && p.BaseRevision > 0 && (low == 0 || p.BaseRevision < low) {
+			low = p.BaseRevision
+		}
+	}
+	n.adoptBase(low)
+}
+
+// basesInUse returns the node's own base, those of its live peers, and the
+// revision that the base is to move to. A flow that differs from the pick at
+// any of them is an exception.
+func (n *Node) basesInUse(base bvconfig.Generation) []bvroute.Base {
+	revisions := []uint64{base.Config.Version.Revision}
+	add := func(r uint64) {
+		if r != 0 && !slices.Contains(revisions, r) {
+			revisions = append(revisions, r)
+		}
+	}
+	for _, p := range n.members.Peers() {
+		if p.Alive {
+			add(p.BaseRevision)
+		}
+	}
+	slices.Sort(revisions[1:])
+	add(n.candidate)
+	var bs []bvroute.Base
+	for _, r := range revisions {
+		if g, ok := n.store.At(r); ok {
+			bs = append(bs, bvroute.Base{Revision: r, Upstreams: g.Config.Upstreams})
+		}
+	}
+	return bs
+}
+
+// moveBase moves the base revision up. The candidate first counts as a second
+// base, so that the sweep turns all flows that differ from it into exceptions;
+// once the replicas have these, it becomes the base.
+func (n *Node) moveBase(now time.Time) {
+	g, ok := n.store.BaseCandidate(now)
+	if !ok || n.members.State() != bvmember.StateActive {
+		return
+	}
+	r := g.Config.Version.Revision
+	if n.candidate != r {
+		n.candidate, n.stale = r, true
+		return
+	}
+	if !n.sweeper.Complete() {
+		return
+	}
+	if err := n.store.SetBase(now, r); err == nil {
+		n.candidate, n.stale = 0, true
+	}
+}
+
+// probes returns the upstreams that this node probes: those of its own zone,
+// since only balancers of the zone place flows on them.
+func (n *Node) probes(c bvconfig.Config) SetProbes {
+	var s SetProbes
+	for _, u := range c.Upstreams {
+		if u.Zone == n.options.Zone && u.Health.IsValid() {
+			s.Upstreams = append(s.Upstreams, u)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/core/bvnode/records.go
@@ -0,0 +1,166 @@
+package bvnode
+
+import (
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvlimit"
+	"balsamvane/core/bvmember"
+	"balsamvane/core/bvsync"
+)
+
+const (
+	// pullRetry is the time after which an unanswered request is repeated.
+	pullRetry = 3 * time.Second
+	// recordBytesPerRequest bounds one answer to a sync request.
+	recordBytesPerRequest = 1200
+)
+
+// pull is the sync with one peer.
+type pull struct {
+	cursor uint64
+	next   time.Time // Of the next request.
+	done   bool
+}
+
+// pullRecords asks active peers for the exceptions that this node needs, and
+// paces the requests so that all answers stay under the byte budget.
+func (n *Node) pullRecords(now time.Time) []Action {
+	if n.knownSince.IsZero() {
+		return nil
+	}
+	if !n.enabled(recordTransfer) {
+		n.skipSync()
+		return nil
+	}
+	var as []Action
+	for _, p := range n.members.Peers() {
+		if !p.Alive || p.InSync || p.State == bvmember.StateJoining || p.State == bvmember.StateLeaving && n.pulls[p.Node] == nil {
+			continue
+		}
+		q := n.pulls[p.Node]
+		if q == nil {
+			q = &pull{}
+			n.pulls[p.Node] = q
+		}
+		if q.done || now.Before(q.next) {
+			continue
+		}
+		q.next = now.Add(pullRetry)
+		as = append(as, RequestSync{From: p.Node, Control: p.Control, Cursor: q.cursor, Limit: recordBytesPerRequest})
+	}
+	return as
+}
+
+// skipSync takes the node for in sync with all peers.
+func (n *Node) skipSync() {
+	for _, p := range n.members.Peers() {
+		if p.Alive && !p.InSync {
+			n.members.MarkSynced(p.Node)
+			n.stale = true
+		}
+	}
+}
+
+func (n *Node) syncReceived(now time.Time, ev SyncReceived) {
+	n.storeRecords(now, ev.Records)
+	ws := make([]bvlimit.WarmState, 0, len(ev.Warm))
+	for _, w := range ev.Warm {
+		ws = append(ws, bvlimit.WarmState{Upstream: w.Upstream, Age: w.Age})
+	}
+	n.limiter.LearnWarm(now, ws)
+	q := n.pulls[ev.From]
+	if q == nil {
+		return
+	}
+	q.cursor = ev.Cursor
+	q.next = now.Add(n.pace(len(ev.Records)))
+	if ev.Done {
+		q.done = true
+		n.adoptBase(ev.BaseRevision)
+		n.members.MarkSynced(ev.From)
+		n.stale = true
+	}
+}
+
+// pace returns the time that an answer's bytes take under the byte budget,
+// which the peers that are pulled from share.
+func (n *Node) pace(records int) time.Duration {
+	pulls := 0
+	for _, q := range n.pulls {
+		if !q.done {
+			pulls++
+		}
+	}
+	perSecond := max(n.options.ControlBytesPerSecond/max(pulls, 1), 1)
+	return time.Duration(records*bvsync.RecordBytes) * time.Second / time.Duration(perSecond)
+}
+
+func (n *Node) syncFailed(now time.Time, from bvconfig.NodeID) {
+	if q := n.pulls[from]; q != nil {
+		q.next = now.Add(bvlimit.Backoff(n.options.Seed^uint64(from), 1))
+	}
+}
+
+func (n *Node) storeRecords(now time.Time, rs []FlowRecord) {
+	for _, r := range rs {
+		if err := n.router.Store(now, bvflow.Key(r.Key), r.Kind, r.Upstream); err != nil {
+			// The table is full; the flow falls back to its base pick.
+			return
+		}
+	}
+}
+
+// pushes returns the batches of exceptions that peers need now.
+func (n *Node) pushes(now time.Time) []Action {
+	if n.knownSince.IsZero() || n.members.State() == bvmember.StateJoining || !n.enabled(recordTransfer) {
+		return nil
+	}
+	var as []Action
+	for _, b := range n.sweeper.Next(now) {
+		p, ok := n.members.Peer(b.To)
+		if !ok || !p.Alive {
+			continue
+		}
+		as = append(as, PushRecords{To: b.To, Control: p.Control, Sequence: b.Sequence, Records: flowRecords(b.Records)})
+	}
+	return as
+}
+
+func flowRecords(rs []bvsync.Record) []FlowRecord {
+	out := make([]FlowRecord, 0, len(rs))
+	for _, r := range rs {
+		out = append(out, FlowRecord{Key: r.Key, Kind: r.Kind, Upstream: r.Upstream})
+	}
+	return out
+}
+
+// SyncRequest answers a peer's [RequestSync] with the records from cursor on,
+// at most limit bytes of them.
+func (n *Node) SyncRequest(now time.Time, from bvconfig.NodeID, cursor uint64, limit int) SyncReceived {
+	records, next, done := n.sweeper.Answer(now, from, cursor, limit)
+	a := SyncReceived{From: n.self, Records: flowRecords(records), Cursor: next, Done: done}
+	if done {
+		for _, w := range n.limiter.Warm(now) {
+			a.Warm = append(a.Warm, WarmState{Upstream: w.Upstream, Age: w.Age})
+		}
+		if b, ok := n.store.Base(); ok {
+			a.BaseRevision = b.Config.Version.Revision
+		}
+	}
+	return a
+}
+
+// adoptBase takes over a peer's base revision, since all nodes of a group have
+// to compute the same base picks. A revision that is still missing is fetched
+// later and adopted when the picture is compiled.
+func (n *Node) adoptBase(revision uint64) {
+	b, ok := n.store.Base()
+	if !ok || revision == 0 || n.members.State() != bvmember.StateJoining || revision >= b.Config.Version.Revision {
+		return
+	}
+	if err := n.store.AdoptBase(revision); err == nil {
+		n.stale = true
+	}
+}
--- a/io/bvtunnel/bvtunnel_test.go
+++ b/io/bvtunnel/bvtunnel_test.go
@@ -52,7 +52,7 @@
 	var t bvroute.Trail
 	return Handed{
 		VNI: 0xABCDEF, Sender: 7, Incarnation: 8, Inner: inner, Trail: t.With(11).With(12),
-		Record: bvroute.Record{Kind: bvroute.RecordPlaced, Upstream: 99, Replicas: [3]bvconfig.NodeID{5, 6}, Count: 2},
+		Record: bvroute.Record{Kind: bvroute.RecordPlaced, Upstream: 99, Replicas: [bvroute.MaxReplicas]bvconfig.NodeID{5, 6}, Count: 2},
 	}
 }
 
