--- a/cmd/bvstandin/helpers.go
+++ b/cmd/bvstandin/helpers.go
@@ -172,6 +172,24 @@
 	return c
 }
 
+func post() *cobra.Command {
+	return &cobra.Command{
+		Use: "post URL", Short: "Send a POST without a body; fail unless the answer is 200", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			client := http.Client{Timeout: 5 * time.Second}
+			resp, err := client.Post(args[0], "", nil)
+			if err != nil {
+				return eris.Wrap(err, "bvstandin: post")
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if resp.StatusCode != http.StatusOK {
+				return eris.Errorf("bvstandin: %s answers %s", args[0], resp.Status)
+			}
+			return nil
+		},
+	}
+}
+
 func quiet() *cobra.Command {
 	var since int64
 	var silence, timeout time.Duration
--- a/cmd/bvstandin/main.go
+++ b/cmd/bvstandin/main.go
@@ -32,6 +32,6 @@
 		Use: "bvstandin", Short: "Stand-ins for the surroundings of a balancer",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	c.AddCommand(platform(), fabric(), upstream(), caller(), relay(), blast(), register(), publish(), await(), quiet(), verdict())
+	c.AddCommand(platform(), fabric(), upstream(), caller(), relay(), blast(), register(), publish(), await(), post(), quiet(), verdict())
 	return c
 }
