Test the stand-ins

Cause: a stand-in that answers wrongly makes a balancer look right or wrong without reason.

Result: before, only a manual run covered them.

--- a/standin/bvstandcaller/bvstandcaller.go
+++ b/standin/bvstandcaller/bvstandcaller.go
@@ -81,6 +81,7 @@
 	log     *zap.Logger
 	random  *rand.Rand
 	socket  *net.UDPConn
+	send    func(bvwire.Segment) // Sends to the fabric; tests replace it.
 
 	mu        sync.Mutex
 	startedAt time.Time
@@ -107,11 +108,13 @@
 
 // New returns a caller that has not started.
 func New(o Options, t Traffic, clock clockwork.Clock, log *zap.Logger) *Caller {
-	return &Caller{
+	c := &Caller{
 		options: o, traffic: t, clock: clock, log: log,
 		random: rand.New(rand.NewPCG(o.Seed, 2)),
 		flows:  map[netip.AddrPort]*flow{}, zones: map[netip.AddrPort]*outage{},
 	}
+	c.send = c.transmit
+	return c
 }
 
 // Run makes requests for Duration, waits for the open ones and returns the
@@ -230,7 +233,7 @@
 	f.conn = bvwire.Dial(now, f.source, s.Address, c.random.Uint32(), c.send)
 }
 
-func (c *Caller) send(s bvwire.Segment) {
+func (c *Caller) transmit(s bvwire.Segment) {
 	// VNI 0: callers and the fabric know nothing of the services' networks.
 	b, err := bvwire.Encode(0, s)
 	if err != nil {
--- /dev/null
+++ b/standin/bvstandcaller/caller_test.go
@@ -0,0 +1,194 @@
+package bvstandcaller
+
+import (
+	"bytes"
+	"net/netip"
+	"testing"
+	"time"
+
+	"balsamvane/standin/bvwire"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+)
+
+var (
+	bench  = Service{Name: "bench", Address: netip.MustParseAddrPort("203.0.113.10:443"), VNI: 101}
+	tunnel = netip.MustParseAddrPort("127.0.0.9:6081")
+)
+
+// rig has a caller and one flow, whose other end the test plays.
+type rig struct {
+	c    *Caller
+	f    *flow
+	peer *bvwire.Conn
+	vni  uint32
+	now  time.Time
+	sent []bvwire.Segment
+}
+
+func newRig(s Service, verb string) *rig {
+	r := &rig{now: time.Unix(1000, 0), vni: s.VNI}
+	r.c = New(Options{Duration: time.Minute}, Traffic{}, clockwork.NewFakeClockAt(r.now), zap.NewNop())
+	r.c.startedAt = r.now
+	r.c.send = func(s bvwire.Segment) { r.sent = append(r.sent, s) }
+	r.c.begin(r.now, s, verb, verb+"-1")
+	r.f = r.c.all[0]
+	return r
+}
+
+// answer lets the other end send b after the handshake.
+func (r *rig) answer(b []byte) {
+	r.peer = bvwire.Accept(r.now, r.sent[0], 1, func(s bvwire.Segment) { r.f.handle(r.now, tunnel, r.vni, s) })
+	r.sent = r.sent[1:]
+	r.pump()
+	r.peer.Write(r.now, b)
+	r.pump()
+}
+
+// pump passes what the caller has sent to the other end.
+func (r *rig) pump() {
+	for ; len(r.sent) > 0; r.sent = r.sent[1:] {
+		r.peer.Handle(r.now, r.sent[0])
+	}
+}
+
+func body(service, verb, id string) []byte {
+	return bvwire.Answer{Verb: verb, ID: id, Service: service, Upstream: "u", Body: bvwire.Body(verb, id)}.Format()
+}
+
+// TestCallerOutcomes guards against a caller that passes answers that it has
+// to complain about.
+func TestCallerOutcomes(t *testing.T) {
+	damaged := body("bench", "certificate", "certificate-1")
+	damaged[5000]++
+	for name, c := range map[string]struct {
+		answer []byte
+		verb   string
+		want   outcome
+	}{
+		"whole":             {body("bench", "ticket", "ticket-1"), "ticket", outcomeWhole},
+		"another service":   {body("certificate", "ticket", "ticket-1"), "ticket", outcomeWrongService},
+		"another request":   {body("bench", "ticket", "ticket-2"), "ticket", outcomeCorrupt},
+		"another verb":      {body("bench", "summary", "ticket-1"), "ticket", outcomeCorrupt},
+		"damaged":           {damaged, "certificate", outcomeCorrupt},
+		"partial":           {body("bench", "certificate", "certificate-1")[:100], "certificate", outcomeOpen},
+		"refused":           {bvwire.Answer{Verb: "ticket", ID: "ticket-1", Service: "bench", Upstream: "u", Refusal: "x"}.Format(), "ticket", outcomeRefused},
+		"feed with a gap":   {[]byte("feed feed-1 bench u 1\nfeed feed-1 bench u 3\n"), "feed", outcomeCorrupt},
+		"feed of another":   {[]byte("feed feed-1 certificate u 1\n"), "feed", outcomeWrongService},
+		"feed without gaps": {[]byte("feed feed-1 bench u 1\nfeed feed-1 bench u 2\nfeed"), "feed", outcomeOpen},
+	} {
+		r := newRig(bench, c.verb)
+		r.answer(bytes.Clone(c.answer))
+		assert.Equal(t, outcomeNames[c.want], outcomeNames[r.f.outcome], name)
+	}
+}
+
+// TestCallerForeignVNI guards against an answer from another service's
+// network that the caller takes for its own.
+func TestCallerForeignVNI(t *testing.T) {
+	r := newRig(bench, "ticket")
+	r.vni = 102
+	r.answer(body("bench", "ticket", "ticket-1"))
+	assert.Equal(t, outcomeNames[outcomeWrongService], outcomeNames[r.f.outcome])
+}
+
+// TestCallerFeedEnds guards against broken feeds that are not counted, and
+// against feeds of a zone taken out that count as broken.
+func TestCallerFeedEnds(t *testing.T) {
+	message := []byte("feed feed-1 bench u 1\n")
+	silent := func(r *rig) {
+		r.now = r.now.Add(feedSilence + time.Second)
+		r.f.tick(r.now)
+	}
+	reset := func(r *rig) { r.peer.Reset() }
+	for name, c := range map[string]struct {
+		happen func(*rig)
+		out    bool
+		want   outcome
+	}{
+		"reset":                   {reset, false, outcomeReset},
+		"silent":                  {silent, false, outcomeSilent},
+		"reset in a zone out":     {reset, true, outcomeGivenUp},
+		"silent in a zone out":    {silent, true, outcomeGivenUp},
+		"ended by the upstream":   {func(r *rig) { r.peer.Close(r.now) }, false, outcomeCorrupt},
+		"closed by the caller":    {func(r *rig) { r.c.closeFeeds(r.now); r.finish() }, false, outcomeWhole},
+		"going on in a zone out":  {func(r *rig) { r.peer.Write(r.now, []byte("feed feed-1 bench u 2\n")) }, true, outcomeOpen},
+		"corrupt in the zone out": {func(r *rig) { r.peer.Write(r.now, []byte("feed feed-1 bench u 9\n")) }, true, outcomeCorrupt},
+	} {
+		r := newRig(bench, "feed")
+		r.answer(message)
+		if c.out {
+			r.c.zones[tunnel] = &outage{from: r.now}
+		}
+		c.happen(r)
+		assert.Equal(t, outcomeNames[c.want], outcomeNames[r.f.outcome], name)
+	}
+}
+
+// finish plays the other end of a close.
+func (r *rig) finish() {
+	r.pump()
+	r.peer.Close(r.now)
+	r.pump()
+}
+
+// TestCallerZoneReturns guards against breaks that are excused because the
+// flow's zone was out of service before the flow began.
+func TestCallerZoneReturns(t *testing.T) {
+	r := newRig(bench, "feed")
+	r.c.zones[tunnel] = &outage{from: r.now.Add(-2 * time.Second), to: r.now.Add(-time.Second)}
+	r.answer([]byte("feed feed-1 bench u 1\n"))
+	r.peer.Reset()
+	assert.Equal(t, outcomeNames[outcomeReset], outcomeNames[r.f.outcome])
+}
+
+// TestCallerRefusals guards against refusals that are not recognized.
+func TestCallerRefusals(t *testing.T) {
+	r := newRig(bench, "ticket")
+	r.f.handle(r.now, tunnel, 0, bvwire.ResetFor(r.sent[0]))
+	assert.Equal(t, outcomeNames[outcomeRefused], outcomeNames[r.f.outcome], "TCP")
+	udp := bench
+	udp.Protocol = "udp"
+	r = newRig(udp, "ticket")
+	r.f.handle(r.now, tunnel, 0, bvwire.Segment{Unreachable: true, UDP: true})
+	assert.Equal(t, outcomeNames[outcomeRefused], outcomeNames[r.f.outcome], "UDP")
+}
+
+// TestVerdict guards against a demo that passes although a promise is broken.
+func TestVerdict(t *testing.T) {
+	good := func() Report {
+		return Report{
+			Summary: Summary{Requests: 500, Whole: 500}, Feeds: 20, FeedsWhole: 20, ServedSeconds: 20,
+		}
+	}
+	millis := int64(5)
+	for name, c := range map[string]struct {
+		fault  string
+		change func(*Report)
+		want   int
+	}{
+		"plain":                      {"", func(*Report) {}, 0},
+		"one request missing":        {"", func(r *Report) { r.Whole-- }, 1},
+		"few requests":               {"", func(r *Report) { r.Requests, r.Whole = 299, 299 }, 1},
+		"few feeds":                  {"", func(r *Report) { r.Feeds, r.FeedsWhole = 19, 19 }, 1},
+		"short":                      {"", func(r *Report) { r.ServedSeconds = 14 }, 1},
+		"wrong service":              {"kill", func(r *Report) { r.WrongService = 1 }, 1},
+		"false refusal":              {"kill", func(r *Report) { r.FalseRefusals = 1 }, 1},
+		"ran twice":                  {"kill", func(r *Report) { r.RanTwice = 1 }, 1},
+		"broken feed":                {"kill", func(r *Report) { r.BrokenFeeds = 1 }, 1},
+		"counts missing":             {"", func(r *Report) { r.MissingCounts = []string{"x"} }, 1},
+		"given up":                   {"kill", func(r *Report) { r.Whole--; r.GivenUp = 1 }, 1},
+		"given up in zone":           {"zone", func(r *Report) { r.Whole--; r.GivenUp = 1; r.ZoneQuietMillis = &millis }, 0},
+		"zone not measured":          {"zone", func(*Report) {}, 1},
+		"refused when cold":          {"", func(r *Report) { r.Whole--; r.Refused = 1 }, 0},
+		"refused when warm":          {"", func(r *Report) { r.Whole--; r.Refused, r.RefusedWarm = 1, 1 }, 1},
+		"2 in 100 under a fault":     {"kill", func(r *Report) { r.Whole -= 10; r.Refused, r.RefusedWarm = 10, 10 }, 0},
+		"over 2 in 100 with a fault": {"kill", func(r *Report) { r.Whole -= 11; r.Refused, r.RefusedWarm = 11, 11 }, 1},
+	} {
+		r := good()
+		c.change(&r)
+		assert.Len(t, r.Verdict(c.fault), c.want, name)
+	}
+}
--- /dev/null
+++ b/standin/bvstandplatform/platform_test.go
@@ -0,0 +1,123 @@
+package bvstandplatform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// rig has a platform with one value at the key groups/g/vms.
+type rig struct {
+	t    *testing.T
+	p    *Platform
+	path string
+	http *httptest.Server
+}
+
+func newRig(t *testing.T, clock clockwork.Clock) *rig {
+	dir := t.TempDir()
+	r := &rig{t: t, p: New(Options{Directory: dir, Delay: time.Hour}, clock), path: filepath.Join(dir, "groups", "g", "vms")}
+	require.NoError(t, os.MkdirAll(filepath.Dir(r.path), 0o700))
+	r.write("one")
+	r.http = httptest.NewServer(r.p.Values())
+	t.Cleanup(r.http.Close)
+	return r
+}
+
+func (r *rig) write(content string) {
+	require.NoError(r.t, os.WriteFile(r.path, []byte(content), 0o600))
+	require.NoError(r.t, r.p.poll())
+}
+
+func (r *rig) get(ctx context.Context, query string) (status int, revision, content string, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.http.URL+"/v1/values/groups/g/vms"+query, nil)
+	require.NoError(r.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header.Get("Platform-Revision"), string(b), err
+}
+
+func (r *rig) want(query string, status int, revision, content string) {
+	r.t.Helper()
+	s, v, c, err := r.get(r.t.Context(), query)
+	require.NoError(r.t, err)
+	assert.Equal(r.t, []any{status, revision, content}, []any{s, v, c})
+}
+
+// TestPlatformRevisions guards against revisions that rise without a change
+// or do not rise with one.
+func TestPlatformRevisions(t *testing.T) {
+	r := newRig(t, clockwork.NewRealClock())
+	r.want("", http.StatusOK, "1", "one")
+	r.want("?afterRevision=1", http.StatusNotModified, "1", "")
+	r.write("one")
+	r.want("", http.StatusOK, "1", "one")
+	r.write("two")
+	r.want("?afterRevision=1", http.StatusOK, "2", "two")
+	s, err := http.Get(r.http.URL + "/v1/values/groups/g/none")
+	require.NoError(t, err)
+	_ = s.Body.Close()
+	assert.Equal(t, http.StatusNotFound, s.StatusCode)
+	assert.Equal(t, uint64(5), r.p.counts.Calls)
+}
+
+// TestPlatformWatch guards against a watch that misses a change or counts as
+// several calls.
+func TestPlatformWatch(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newRig(t, clock)
+	done := make(chan string)
+	watch := func() {
+		_, v, c, err := r.get(t.Context(), "?afterRevision=1&waitSeconds=30")
+		assert.NoError(t, err)
+		done <- v + c
+	}
+	go watch()
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	r.write("two")
+	assert.Equal(t, "2two", <-done)
+	assert.Equal(t, uint64(1), r.p.counts.Calls)
+}
+
+// TestPlatformModes guards against modes that do not fail as they are named.
+func TestPlatformModes(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newRig(t, clock)
+	require.True(t, r.p.setMode(ModeStale))
+	r.write("two")
+	r.want("", http.StatusOK, "1", "one")
+	require.True(t, r.p.setMode(ModeAbsent))
+	_, _, _, err := r.get(t.Context(), "")
+	assert.Error(t, err)
+	require.True(t, r.p.setMode(ModeSilent))
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error)
+	go func() {
+		_, _, _, err := r.get(ctx, "")
+		failed <- err
+	}()
+	assert.Eventually(t, func() bool {
+		r.p.mu.Lock()
+		defer r.p.mu.Unlock()
+		return r.p.counts.Waiting == 1
+	}, time.Minute, time.Millisecond)
+	require.True(t, r.p.setMode(ModeNormal))
+	r.want("", http.StatusOK, "2", "two")
+	cancel()
+	assert.True(t, errors.Is(<-failed, context.Canceled), "a silent connection stays silent")
+	assert.False(t, r.p.setMode("gone"))
+}
--- a/standin/bvstandupstream/bvstandupstream.go
+++ b/standin/bvstandupstream/bvstandupstream.go
@@ -72,7 +72,7 @@
 	Health  netip.AddrPort `json:"health"`
 	// Ran is the number of times that each request ID was run.
 	Ran map[string]int `json:"ran"`
-	// Packets is by VNI; Flows by destination address inside the packet.
+	// Packets is by VNI, Destinations by destination address inside the packet.
 	Packets      map[string]uint64 `json:"packets"`
 	Destinations map[string]uint64 `json:"destinations"`
 	Malformed    uint64            `json:"malformed"`
@@ -94,6 +94,7 @@
 	clock   clockwork.Clock
 	log     *zap.Logger
 	socket  *net.UDPConn
+	send    func(bvwire.Segment) // Answers the caller; tests replace it.
 
 	mu         sync.Mutex
 	counts     Counts
@@ -114,7 +115,7 @@
 // New returns an upstream that is cold from now on.
 func New(o Options, clock clockwork.Clock, log *zap.Logger) *Upstream {
 	now := clock.Now()
-	return &Upstream{
+	u := &Upstream{
 		options: o, clock: clock, log: log, startedAt: now, coldSince: now,
 		flows: map[flowKey]*flow{},
 		counts: Counts{
@@ -122,6 +123,8 @@
 			Ran: map[string]int{}, Packets: map[string]uint64{}, Destinations: map[string]uint64{},
 		},
 	}
+	u.send = u.transmit
+	return u
 }
 
 // Run serves until ctx ends and all flows have ended, or DrainLimit after ctx
@@ -206,7 +209,7 @@
 	u.segment(now, s)
 }
 
-func (u *Upstream) send(s bvwire.Segment) {
+func (u *Upstream) transmit(s bvwire.Segment) {
 	b, err := bvwire.Encode(u.options.VNI, s)
 	if err != nil {
 		u.log.Error("answer not encoded", zap.Error(err))
