--- /dev/null
+++ b/cmd/balsamvane/status.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc/iter"
+	"github.com/spf13/cobra"
+)
+
+// statusReply is what a balancer answers to GET /status. Unknown fields are
+// ignored, so that balancers of another release can be asked.
+type statusReply struct {
+	Node         string `json:"node"`
+	Zone         string `json:"zone"`
+	Group        string `json:"group"`
+	State        string `json:"state"`
+	Revision     uint64 `json:"revision"`
+	Hash         string `json:"hash"`
+	BaseRevision uint64 `json:"baseRevision"`
+	// PictureAge is the time since the configuration came into force,
+	// PlatformAge the time since fresh contact with the platform.
+	PictureAge  age      `json:"pictureAge"`
+	PlatformAge age      `json:"platformAge"`
+	Flows       int      `json:"flows"`
+	Dead        []string `json:"dead"`
+}
+
+// processStatus is one line of the table.
+type processStatus struct {
+	Address string       `json:"address"`
+	Error   string       `json:"error,omitempty"`
+	Status  *statusReply `json:"status,omitempty"`
+}
+
+// statusReport is the output for programs.
+type statusReport struct {
+	Processes     []processStatus `json:"processes"`
+	Disagreements []string        `json:"disagreements"`
+}
+
+func newStatusCommand() *cobra.Command {
+	var addresses []string
+	var timeout time.Duration
+	var format outputFormat
+	c := &cobra.Command{
+		Use:   "status --addr IP:PORT,IP:PORT",
+		Short: "Compare what several balancers have in force",
+		Long: `Status asks balancers for their revision, the age of their picture and the
+peers that they consider dead, and prints one table with all disagreements
+below it.
+
+Exit status: 0 all agree, 1 they disagree or one does not answer, 2 status
+could not run.`,
+		Example: `  balsamvane status --addr 10.20.0.1:9090,10.20.1.1:9090,10.20.2.1:9090
+  balsamvane status --addr 10.20.0.1:9090 --output json`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return runStatus(c.Context(), c.OutOrStdout(), format, newAdminClient(timeout), addresses)
+		},
+	}
+	c.Flags().StringSliceVar(&addresses, "addr", nil, "admin addresses of the balancers, separated by commas")
+	c.Flags().DurationVar(&timeout, "timeout", 3*time.Second, "longest wait for one balancer")
+	format.addTo(c)
+	mustFlags(c, "addr")
+	return c
+}
+
+func runStatus(ctx context.Context, w io.Writer, format outputFormat, client *adminClient, addresses []string) error {
+	ask := iter.Mapper[string, processStatus]{MaxGoroutines: 32}
+	report := statusReport{Processes: ask.Map(addresses, func(a *string) processStatus {
+		return askStatus(ctx, client, *a)
+	})}
+	report.Disagreements = disagreements(report.Processes)
+	if format == outputJSON {
+		if err := printJSON(w, report); err != nil {
+			return err
+		}
+	} else if err := printStatus(w, report); err != nil {
+		return err
+	}
+	if len(report.Disagreements) > 0 {
+		return errFindings
+	}
+	return nil
+}
+
+func askStatus(ctx context.Context, client *adminClient, address string) processStatus {
+	p := processStatus{Address: address}
+	body, err := client.get(ctx, address, "/status", nil)
+	if err != nil {
+		p.Error = err.Error()
+		return p
+	}
+	var s statusReply
+	if err := json.Unmarshal(body, &s); err != nil {
+		p.Error = "the status cannot be read: " + err.Error()
+		return p
+	}
+	p.Status = &s
+	return p
+}
+
+// stalePlatform is the age of platform contact after which a balancer reads
+// the platform itself; an older contact means that this failed too.
+const stalePlatform = 60 * time.Second
+
+// disagreements compares the processes group by group.
+func disagreements(processes []processStatus) []string {
+	out := []string{}
+	groups := map[string][]*statusReply{}
+	for _, p := range processes {
+		if p.Status == nil {
+			out = append(out, p.Address+" does not answer: "+p.Error)
+			continue
+		}
+		groups[p.Status.Group] = append(groups[p.Status.Group], p.Status)
+	}
+	for _, g := range slices.Sorted(maps.Keys(groups)) {
+		out = append(out, compareGroup(g, groups[g])...)
+	}
+	return out
+}
+
+func compareGroup(group string, all []*statusReply) []string {
+	var out []string
+	newest := slices.MaxFunc(all, func(a, b *statusReply) int { return cmp.Compare(a.Revision, b.Revision) }).Revision
+	hashes := map[string][]string{}
+	for _, s := range all {
+		if s.Revision != newest {
+			out = append(out, fmt.Sprintf("group %s: %s has revision %d, others have %d", group, s.Node, s.Revision, newest))
+		} else {
+			hashes[s.Hash] = append(hashes[s.Hash], s.Node)
+		}
+		if time.Duration(s.PlatformAge) > stalePlatform {
+			out = append(out, fmt.Sprintf("group %s: %s has had no fresh platform contact for %s", group, s.Node, s.PlatformAge))
+		}
+		for _, d := range s.Dead {
+			if slices.ContainsFunc(all, func(o *statusReply) bool { return o.Node == d }) {
+				out = append(out, fmt.Sprintf("group %s: %s considers %s dead, which answers here", group, s.Node, d))
+			}
+		}
+	}
+	if len(hashes) > 1 {
+		var sides []string
+		for _, h := range slices.Sorted(maps.Keys(hashes)) {
+			sides = append(sides, strings.Join(hashes[h], " "))
+		}
+		out = append(out, fmt.Sprintf("group %s: revision %d has different content on %s", group, newest, strings.Join(sides, " and ")))
+	}
+	return out
+}
+
+func printStatus(w io.Writer, r statusReport) error {
+	t := newTable("ADDRESS", "NODE", "GROUP", "ZONE", "STATE", "REVISION", "BASE", "PICTURE AGE", "PLATFORM AGE", "FLOWS", "DEAD PEERS")
+	for _, p := range r.Processes {
+		s := p.Status
+		if s == nil {
+			t.row(p.Address, "-", "-", "-", "no answer", "-", "-", "-", "-", "-", "-")
+			continue
+		}
+		dead := strings.Join(s.Dead, " ")
+		if dead == "" {
+			dead = "none"
+		}
+		t.row(p.Address, s.Node, s.Group, s.Zone, s.State, s.Revision, s.BaseRevision, s.PictureAge, s.PlatformAge, s.Flows, dead)
+	}
+	if err := t.print(w); err != nil {
+		return err
+	}
+	text := "\nall agree\n"
+	if len(r.Disagreements) > 0 {
+		text = "\ndisagreements:\n  " + strings.Join(r.Disagreements, "\n  ") + "\n"
+	}
+	_, err := io.WriteString(w, text)
+	return eris.Wrap(err, "write output")
+}
--- a/core/bvregister/rules.go
+++ b/core/bvregister/rules.go
@@ -208,7 +208,8 @@
 }
 
 // nearest names the known key closest to a misspelt one, or else all keys. A
-// key counts as close if at most a third of its letters have to be changed.
+// key counts as close if at most a third of its letters have to be changed, or
+// if it is the beginning of one known key.
 func nearest[V any](key string, keys map[string]V) string {
 	names := slices.Sorted(maps.Keys(keys))
 	best, distance := "", len(key)/3+1
@@ -217,6 +218,11 @@
 			best, distance = k, d
 		}
 	}
+	for i := 0; best == "" && len(key) > 2 && i < len(names); i++ {
+		if strings.HasPrefix(strings.ToLower(names[i]), strings.ToLower(key)) {
+			best = names[i]
+		}
+	}
 	if best != "" {
 		return quote(best)
 	}
