--- a/cmd/balsamvane/diff.go
+++ b/cmd/balsamvane/diff.go
@@ -92,7 +92,10 @@
 		b.WriteString("  the hash seed differs: balancers find no established flow any more\n")
 	}
 	section(b, "flows that are given up", r.GivenUp, func(l bvregister.Loss) string {
-		return fmt.Sprintf("%s in %s: %s of its flows (%d VMs %s)", l.Service, l.Zone, share(l.Share), l.VMs, l.Reason)
+		if l.Zone == "" {
+			return fmt.Sprintf("%s: %s of its flows (%s)", l.Service, share(l.Share), l.Reason)
+		}
+		return fmt.Sprintf("%s in %s: %s of its flows (VMs: %d, %s)", l.Service, l.Zone, share(l.Share), l.VMs, l.Reason)
 	})
 	section(b, "VMs that get no new flows", r.NoNewFlows, describeVM)
 	section(b, "upstreams that start cold", r.Cold, describeVM)
--- a/core/bvregister/csv.go
+++ b/core/bvregister/csv.go
@@ -8,7 +8,6 @@
 	"io"
 	"slices"
 	"strings"
-	"unique"
 
 	"balsamvane/core/bvfinding"
 )
@@ -55,16 +54,16 @@
 	roleService
 )
 
-// row is one line of the register. Field texts are interned, because zones,
-// services and roles repeat on almost every line.
+// row is one line of the register. Its texts share the memory of the line;
+// interning them took half of the time of an import at the design size.
 type row struct {
 	role    role
 	line    int32
 	columns [columnCount]int32 // Position of each field on its line; 0 if absent.
-	fields  [columnCount]unique.Handle[string]
+	fields  [columnCount]string
 }
 
-func (r *row) text(c int) string { return r.fields[c].Value() }
+func (r *row) text(c int) string { return r.fields[c] }
 
 // registerReader reads rows and reports problems.
 type registerReader struct {
@@ -186,7 +185,7 @@
 			w.columns[n] = int32(column)
 		}
 		empty = empty && text == ""
-		w.fields[n] = unique.Make(text)
+		w.fields[n] = text
 	}
 	if empty {
 		return row{}, false
--- a/core/bvregister/diff.go
+++ b/core/bvregister/diff.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/netip"
@@ -9,6 +10,8 @@
 
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvflow"
+
+	"github.com/zeebo/xxh3"
 )
 
 // DiffOptions set how a [Diff] is computed. The zero value is ready to use.
@@ -57,7 +60,8 @@
 	Reason  string `json:"reason"`
 }
 
-// Loss is a share of a service's flows that is given up.
+// Loss is a share of a service's flows that is given up. Zone is empty if the
+// loss is not in one zone.
 type Loss struct {
 	Service string  `json:"service"`
 	Zone    string  `json:"zone"`
@@ -115,6 +119,7 @@
 	services  map[string]bvconfig.Service
 	zones     map[string]map[string]bool // Zones that take new flows, by service.
 	vms       map[string]int             // Upstreams, by service.
+	choices   map[string]uint64          // Fingerprint of what the defaults depend on, by service.
 	picker    Picker
 	hasher    bvflow.Hasher
 }
@@ -122,7 +127,7 @@
 func newSide(c bvconfig.Config, o DiffOptions) *side {
 	s := &side{
 		config: c, out: zonesOut(c), upstreams: make(map[bvconfig.UpstreamID]bvconfig.Upstream, len(c.Upstreams)),
-		services: map[string]bvconfig.Service{}, zones: map[string]map[string]bool{}, vms: map[string]int{},
+		services: map[string]bvconfig.Service{}, zones: map[string]map[string]bool{}, vms: map[string]int{}, choices: map[string]uint64{},
 		picker: o.NewPicker(c), hasher: bvflow.NewHasher(c.HashSeed),
 	}
 	for _, v := range c.Services {
@@ -134,6 +139,8 @@
 		s.vms[u.Service]++
 		if s.takes(u) && s.zones[u.Service] != nil {
 			s.zones[u.Service][u.Zone] = true
+			// A sum does not depend on the order of the upstreams.
+			s.choices[u.Service] += xxh3.HashString(fmt.Sprintf("%x %d %s", u.ID(), u.Weight, u.Zone))
 		}
 	}
 	return s
@@ -204,10 +211,14 @@
 		if !kept {
 			d.report.Removed = append(d.report.Removed, n)
 		}
-		share := d.sample(s, t, kept)
+		share := 0.0
+		if !kept || d.report.HashSeedChanged || d.old.choices[n] != d.next.choices[n] || s.Protocol != t.Protocol {
+			share = d.sample(s, t, kept)
+		}
 		if !kept {
 			continue
 		}
+		d.addresses(s, t)
 		if share > 0 {
 			d.report.Moved = append(d.report.Moved, Share{n, share})
 		}
@@ -227,6 +238,16 @@
 	}
 }
 
+// addresses reports addresses that a service no longer has.
+func (d *differ) addresses(s, t bvconfig.Service) {
+	for _, a := range s.Addresses {
+		if s.Protocol != t.Protocol || !slices.Contains(t.Addresses, a) {
+			reason := "address " + a.String() + "/" + s.Protocol.String() + " removed"
+			d.losses[lossKey{s.Name, "", reason}] = &Loss{Service: s.Name, Reason: reason, Share: 1 / float64(len(s.Addresses))}
+		}
+	}
+}
+
 // sample draws flows of a service and returns the share whose default moves.
 // It adds the share of flows that are given up to the losses.
 func (d *differ) sample(s, t bvconfig.Service, kept bool) float64 {
--- a/core/bvregister/diff_test.go
+++ b/core/bvregister/diff_test.go
@@ -56,6 +56,10 @@
 		require.Equal(t, "cert-5", r.Cold[0].Name)
 		require.Len(t, r.GivenUp, 1)
 	})
+	t.Run("address removed", func(t *testing.T) {
+		r := bvregister.Diff(old, serena(t, "", "7001", "7002"), bvregister.DiffOptions{})
+		require.Equal(t, []bvregister.Loss{{Service: "bench", Reason: "address 192.0.2.10:7001/tcp removed", Share: 0.5}}, r.GivenUp)
+	})
 	t.Run("hash seed", func(t *testing.T) {
 		next := old
 		next.HashSeed++
