--- a/cmd/balsamvane/status.go
+++ b/cmd/balsamvane/status.go
@@ -17,21 +17,22 @@
 )
 
 // statusReply is what a balancer answers to GET /status. Unknown fields are
-// ignored, so that balancers of another release can be asked.
+// ignored and absent ones are shown as "-", so that balancers of another
+// release can be asked.
 type statusReply struct {
 	Node         string `json:"node"`
-	Zone         string `json:"zone"`
-	Group        string `json:"group"`
+	Zone         string `json:"zone,omitempty"`
+	Group        string `json:"group,omitempty"`
 	State        string `json:"state"`
 	Revision     uint64 `json:"revision"`
-	Hash         string `json:"hash"`
+	Hash         string `json:"hash,omitempty"`
 	BaseRevision uint64 `json:"baseRevision"`
 	// PictureAge is the time since the configuration came into force,
 	// PlatformAge the time since fresh contact with the platform.
-	PictureAge  age      `json:"pictureAge"`
+	PictureAge  *age     `json:"pictureAge,omitempty"`
 	PlatformAge age      `json:"platformAge"`
-	Flows       int      `json:"flows"`
-	Dead        []string `json:"dead"`
+	Flows       *int     `json:"flows,omitempty"`
+	Dead        []string `json:"dead,omitempty"`
 }
 
 // processStatus is one line of the table.
@@ -132,20 +133,24 @@
 
 func compareGroup(group string, all []*statusReply) []string {
 	var out []string
+	prefix := ""
+	if group != "" {
+		prefix = "group " + group + ": "
+	}
 	newest := slices.MaxFunc(all, func(a, b *statusReply) int { return cmp.Compare(a.Revision, b.Revision) }).Revision
 	hashes := map[string][]string{}
 	for _, s := range all {
 		if s.Revision != newest {
-			out = append(out, fmt.Sprintf("group %s: %s has revision %d, others have %d", group, s.Node, s.Revision, newest))
-		} else {
+			out = append(out, fmt.Sprintf("%s%s has revision %d, others have %d", prefix, s.Node, s.Revision, newest))
+		} else if s.Hash != "" {
 			hashes[s.Hash] = append(hashes[s.Hash], s.Node)
 		}
 		if time.Duration(s.PlatformAge) > stalePlatform {
-			out = append(out, fmt.Sprintf("group %s: %s has had no fresh platform contact for %s", group, s.Node, s.PlatformAge))
+			out = append(out, fmt.Sprintf("%s%s has had no fresh platform contact for %s", prefix, s.Node, s.PlatformAge))
 		}
 		for _, d := range s.Dead {
 			if slices.ContainsFunc(all, func(o *statusReply) bool { return o.Node == d }) {
-				out = append(out, fmt.Sprintf("group %s: %s considers %s dead, which answers here", group, s.Node, d))
+				out = append(out, fmt.Sprintf("%s%s considers %s dead, which answers here", prefix, s.Node, d))
 			}
 		}
 	}
@@ -154,7 +159,7 @@
 		for _, h := range slices.Sorted(maps.Keys(hashes)) {
 			sides = append(sides, strings.Join(hashes[h], " "))
 		}
-		out = append(out, fmt.Sprintf("group %s: revision %d has different content on %s", group, newest, strings.Join(sides, " and ")))
+		out = append(out, fmt.Sprintf("%srevision %d has different content on %s", prefix, newest, strings.Join(sides, " and ")))
 	}
 	return out
 }
@@ -167,11 +172,8 @@
 			t.row(p.Address, "-", "-", "-", "no answer", "-", "-", "-", "-", "-", "-")
 			continue
 		}
-		dead := strings.Join(s.Dead, " ")
-		if dead == "" {
-			dead = "none"
-		}
-		t.row(p.Address, s.Node, s.Group, s.Zone, s.State, s.Revision, s.BaseRevision, s.PictureAge, s.PlatformAge, s.Flows, dead)
+		t.row(p.Address, s.Node, orDash(s.Group), orDash(s.Zone), s.State, s.Revision, s.BaseRevision,
+			optional(s.PictureAge), s.PlatformAge, optional(s.Flows), orDash(strings.Join(s.Dead, " ")))
 	}
 	if err := t.print(w); err != nil {
 		return err
@@ -183,3 +185,13 @@
 	_, err := io.WriteString(w, text)
 	return eris.Wrap(err, "write output")
 }
+
+func orDash(s string) string { return cmp.Or(s, "-") }
+
+// optional formats a value that may be absent.
+func optional[T any](v *T) string {
+	if v == nil {
+		return "-"
+	}
+	return fmt.Sprint(*v)
+}
