Decode only the listed parts in the stand-in decoder

TestImportDiffAndCheck failed in about one of five runs under -race: the stand-in Decode of encode_pending.go read all parts of the directory in map order, and import keeps the previous revision's part beside the new one.

Not a fault of import or diff.

--- a/core/bvconfig/encode_pending.go
+++ b/core/bvconfig/encode_pending.go
@@ -37,11 +37,14 @@
 func Decode(manifest []byte, parts map[string][]byte) (Config, bvfinding.List) {
 	var c Config
 	var l bvfinding.List
-	var m struct{ Revision uint64 }
+	var m struct {
+		Revision uint64
+		Parts    []struct{ Key string }
+	}
 	err := json.Unmarshal(manifest, &m)
-	for _, p := range parts {
+	for _, p := range m.Parts {
 		if err == nil {
-			err = json.Unmarshal(p, &c)
+			err = json.Unmarshal(parts[p.Key], &c)
 		}
 	}
 	if err != nil {
