Refuse a VNI that goes from one service to another in one change

If a VNI and an address are reused by another service in the same revision, a balancer with the older revision sends packets that the VM accepts. Import now compares with the published parts in the output directory.

Before: accepted. After: a finding at the service's row.

Ruled out: a list of retired VNIs, which nothing could store.

--- a/cmd/balsamvane/import.go
+++ b/cmd/balsamvane/import.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return b, l, err
 	}
-	previous, err := readManifests(directory)
+	previous, err := readPrevious(directory)
 	if err != nil {
 		return b, l, err
 	}
@@ -114,6 +114,26 @@
 	return bvregister.Source{Name: file, Content: content}, nil
 }
 
+// readPrevious returns what directory holds, with the parts of each group that
+// has any.
+func readPrevious(directory string) (map[string]bvregister.Published, error) {
+	previous, err := readManifests(directory)
+	if err != nil {
+		return nil, err
+	}
+	for g, p := range previous {
+		parts, err := readParts(directory, g)
+		if err != nil {
+			return nil, err
+		}
+		if len(parts) > 0 {
+			p.Parts = parts
+			previous[g] = p
+		}
+	}
+	return previous, nil
+}
+
 // readManifests returns the manifests below directory by group.
 func readManifests(directory string) (map[string]bvregister.Published, error) {
 	out := map[string]bvregister.Published{}
--- a/core/bvregister/build.go
+++ b/core/bvregister/build.go
@@ -26,6 +26,8 @@
 	controls  map[netip.AddrPort]string
 	addresses map[serviceAddress]string
 	vnis      map[uint32]string
+	// published has the service of each VNI before this import.
+	published map[uint32]string
 	zonesOut  map[string]placed
 	leaving   map[string]placed
 }
@@ -61,12 +63,12 @@
 
 // build converts rows and rules to configurations, ordered by group. It
 // reports problems and goes on, so that one run finds all of them.
-func build(file string, rows []row, r rules, l *bvfinding.List) []bvconfig.Config {
+func build(file string, rows []row, r rules, published map[uint32]string, l *bvfinding.List) []bvconfig.Config {
 	b := &builder{
 		file: file, rules: r, list: l,
 		groups: map[string]*bvconfig.Config{}, services: map[string]*service{},
 		vms: map[string]*vm{}, zones: map[string]*zone{}, tunnels: map[netip.AddrPort]string{}, controls: map[netip.AddrPort]string{},
-		addresses: map[serviceAddress]string{}, vnis: map[uint32]string{},
+		addresses: map[serviceAddress]string{}, vnis: map[uint32]string{}, published: published,
 		zonesOut: byName(r.zonesOut), leaving: byName(r.leaving),
 	}
 	for i := range rows {
--- a/core/bvregister/bvregister.go
+++ b/core/bvregister/bvregister.go
@@ -40,10 +40,13 @@
 	Content []byte
 }
 
-// Published is a manifest that was published before.
+// Published is what was published for a group before.
 type Published struct {
-	File     string // Appears in findings.
+	File     string // Of the manifest; appears in findings.
 	Manifest []byte
+	// Parts holds the published parts by platform key. If it is nil, changes
+	// that depend on the earlier content are not checked.
+	Parts map[string][]byte
 }
 
 // Bundle is what an import publishes.
@@ -61,14 +64,14 @@
 }
 
 // Import reads the register and the rules and returns what to publish for each
-// group. previous holds the published manifest of each group by name; a group
-// that is absent starts at revision 1. If there are findings, the bundle is
+// group. previous holds what was published of each group by name; a group that
+// is absent starts at revision 1. If there are findings, the bundle is
 // empty and nothing may be published.
 func Import(register, rules Source, previous map[string]Published) (Bundle, bvfinding.List) {
 	var l bvfinding.List
 	r := readRules(rules, &l)
 	rows := readRegister(register, r, &l)
-	configs := build(register.Name, rows, r, &l)
+	configs := build(register.Name, rows, r, publishedVNIs(previous, &l), &l)
 	if !l.Empty() {
 		return Bundle{}, l
 	}
@@ -83,6 +86,27 @@
 	return b, l
 }
 
+// publishedVNIs returns the service that has each VNI in the earlier
+// publications.
+func publishedVNIs(previous map[string]Published, l *bvfinding.List) map[uint32]string {
+	vnis := map[uint32]string{}
+	for _, n := range slices.Sorted(maps.Keys(previous)) {
+		p := previous[n]
+		if p.Parts == nil {
+			continue
+		}
+		c, found := bvconfig.Decode(p.Manifest, p.Parts)
+		if !found.Empty() {
+			l.Add(bvfinding.Place{File: p.File}, "the published values of group "+quote(n)+" cannot be read: "+found.Sorted()[0].Problem,
+				"copy the manifest and its parts back from the platform")
+		}
+		for _, s := range c.Services {
+			vnis[s.VNI] = s.Name
+		}
+	}
+	return vnis
+}
+
 // manifest is the part of a published manifest that decides on the revision.
 type manifest struct {
 	Group    string `json:"group"`
--- a/core/bvregister/consistency.go
+++ b/core/bvregister/consistency.go
@@ -48,14 +48,7 @@
 	})
 	for _, s := range order {
 		n := s.Name
-		if s.VNI == 0 {
-			b.list.Add(s.place, "service "+quote(n)+" has no VNI", "write its VNI in column vni of a row of the service, or as vni in the rules")
-		} else if other, taken := b.vnis[s.VNI]; taken {
-			b.list.Add(s.place, "services "+quote(other)+" and "+quote(n)+" have the same VNI "+strconv.Itoa(int(s.VNI)),
-				"give each service its own VNI; a VM discards packets of other services by it")
-		} else {
-			b.vnis[s.VNI] = n
-		}
+		b.finishVNI(s)
 		switch {
 		case s.upstreams == 0:
 			b.list.Add(s.place, "service "+quote(n)+" has no VMs", "add a row with role upstream for each VM, or remove the service")
@@ -66,6 +59,28 @@
 	}
 }
 
+// finishVNI reports a VNI that does not tell the service from others. A VNI
+// must not go from one service to another in one change: a balancer that has
+// not received the change yet could send packets of the first service to a VM
+// that the second one has taken over, and the VM would accept them.
+func (b *builder) finishVNI(s *service) {
+	if s.VNI == 0 {
+		b.list.Add(s.place, "service "+quote(s.Name)+" has no VNI", "write its VNI in column vni of a row of the service, or as vni in the rules")
+		return
+	}
+	v := strconv.Itoa(int(s.VNI))
+	if other, taken := b.vnis[s.VNI]; taken {
+		b.list.Add(s.place, "services "+quote(other)+" and "+quote(s.Name)+" have the same VNI "+v,
+			"give each service its own VNI; a VM discards packets of other services by it")
+		return
+	}
+	b.vnis[s.VNI] = s.Name
+	if old, known := b.published[s.VNI]; known && old != s.Name {
+		b.list.Add(s.place, "VNI "+v+" belongs to service "+quote(old)+" in the published configuration",
+			"write a VNI that is not in use; publish without "+quote(old)+" first if "+quote(s.Name)+" needs this one")
+	}
+}
+
 // finishZones reports zones whose upstreams no balancer can reach: only
 // balancers of a zone place flows on its upstreams.
 func (b *builder) finishZones() {
--- a/core/bvregister/diff.go
+++ b/core/bvregister/diff.go
@@ -162,7 +162,7 @@
 const (
 	reasonZoneOut = "zone out of service"
 	reasonLeaving = "leaving"
-	reasonRemoved = "removed or moved to another address, service or zone"
+	reasonRemoved = "removed, or moved to another address or service"
 	reasonNew     = "new"
 )
 
--- a/core/bvregister/import_test.go
+++ b/core/bvregister/import_test.go
@@ -202,6 +202,24 @@
 	}
 }
 
+// Guards against a VNI that goes from one service to another in one change,
+// so that late packets of the first reach VMs of the second.
+func TestPromiseVNIIsNotReusedAtOnce(t *testing.T) {
+	rules := bvregister.Source{Content: []byte(baseRules)}
+	first := mustImport(t, bvregister.Source{Content: []byte(base)}, rules, nil).Groups[0]
+	published := map[string]bvregister.Published{"g": {File: "manifest", Manifest: first.Manifest, Parts: first.Parts}}
+	renamed := bvregister.Source{Name: "r.csv", Content: []byte(strings.ReplaceAll(base, "web", "shop"))}
+	_, l := bvregister.Import(renamed, rules, published)
+	require.True(t, has(l.Sorted(), "r.csv:2:2", `VNI 1 belongs to service "web"`), "%v", l.Err())
+
+	renamed.Content = []byte(strings.Replace(string(renamed.Content), "80,,1", "80,,2", 1))
+	mustImport(t, renamed, rules, published)
+
+	published["g"] = bvregister.Published{File: "manifest", Manifest: first.Manifest, Parts: map[string][]byte{"x": nil}}
+	_, l = bvregister.Import(renamed, rules, published)
+	require.True(t, has(l.Sorted(), "manifest", "cannot be read"), "%v", l.Err())
+}
+
 // Guards against output that depends on map order or on the order of rows.
 func TestImportIsDeterministic(t *testing.T) {
 	register, rules := example(t, "tuul")
