Make the callers' load repeatable and their audit complete

Cause: the number of requests of a run depended on the order of a map and on scheduling (558 to 563 in five demo runs). An upstream that stopped during the audit could be missed. A late SYN left a half-open connection at an upstream, since no caller answered its SYN-ACK.

Change: each stream of requests has its own seeded generator. The audit reads running upstreams first, then the files of stopped ones, and drops doubles by name and start time. The caller answers segments of unknown connections with RST. Requests can carry a deadline. The verdict prints the full report before the summary line.

--- a/cmd/bvstandin/helpers.go
+++ b/cmd/bvstandin/helpers.go
@@ -277,8 +277,9 @@
 			for _, f := range failures {
 				fmt.Println("failed:", f)
 			}
-			for _, f := range r.Failed {
-				fmt.Println("request:", f)
+			fmt.Print("report: ")
+			if err := printJSON(r); err != nil {
+				return err
 			}
 			if err := printJSON(r.Summary); err != nil {
 				return err
--- a/cmd/bvstandin/main.go
+++ b/cmd/bvstandin/main.go
@@ -22,7 +22,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := root().ExecuteContext(ctx); err != nil {
-		zap.Must(zap.NewDevelopment()).Error("bvstandin failed", zap.Error(err))
+		zap.Must(zap.NewDevelopment()).Error("bvstandin failed", zap.String("error", err.Error()))
 		os.Exit(1)
 	}
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -155,7 +155,7 @@
 	cat >"$run/services.yaml" <<-YAML
 		services:
 		  - {name: bench, address: "203.0.113.10:443", vni: 101, feeds: 24, ticketsPerSecond: 10, summariesPerSecond: 10}
-		  - {name: certificate, address: "203.0.113.20:443", vni: 102, certificatesPerSecond: 6}
+		  - {name: certificate, address: "203.0.113.20:443", vni: 102, certificatesPerSecond: 6, deadline: 10s}
 		upstreams: [$(join "${h[@]}")]
 	YAML
 }
--- a/standin/bvstandcaller/bvstandcaller.go
+++ b/standin/bvstandcaller/bvstandcaller.go
@@ -71,6 +71,8 @@
 	TicketsPerSecond      float64        `yaml:"ticketsPerSecond"`
 	CertificatesPerSecond float64        `yaml:"certificatesPerSecond"`
 	SummariesPerSecond    float64        `yaml:"summariesPerSecond"`
+	// Deadline is passed on with each request but feeds; none if 0.
+	Deadline time.Duration `yaml:"deadline"`
 }
 
 // Caller is a running stand-in.
@@ -99,6 +101,9 @@
 	next    time.Time
 	left    int // Requests still to come; -1 for no bound.
 	number  int
+	// random is of the arrival's own, so that the number of requests does not
+	// depend on timing; nil for feeds, which open evenly.
+	random *rand.Rand
 }
 
 // outage is the time in which an upstream's zone was out of service.
@@ -148,16 +153,9 @@
 	defer c.mu.Unlock()
 	c.startedAt = c.clock.Now()
 	for _, s := range c.traffic.Services {
-		for verb, rate := range map[string]float64{
-			bvwire.VerbTicket: s.TicketsPerSecond, bvwire.VerbCertificate: s.CertificatesPerSecond,
-			bvwire.VerbSummary: s.SummariesPerSecond,
-		} {
-			if rate > 0 {
-				c.arrivals = append(c.arrivals, &arrival{
-					service: s, verb: verb, next: c.startedAt, left: -1, mean: time.Duration(float64(time.Second) / rate),
-				})
-			}
-		}
+		c.addArrival(s, bvwire.VerbTicket, s.TicketsPerSecond)
+		c.addArrival(s, bvwire.VerbCertificate, s.CertificatesPerSecond)
+		c.addArrival(s, bvwire.VerbSummary, s.SummariesPerSecond)
 		if s.Feeds > 0 {
 			c.arrivals = append(c.arrivals, &arrival{
 				service: s, verb: bvwire.VerbFeed, next: c.startedAt, left: s.Feeds,
@@ -167,6 +165,16 @@
 	}
 }
 
+func (c *Caller) addArrival(s Service, verb string, rate float64) {
+	if rate <= 0 {
+		return
+	}
+	c.arrivals = append(c.arrivals, &arrival{
+		service: s, verb: verb, next: c.startedAt, left: -1, mean: time.Duration(float64(time.Second) / rate),
+		random: rand.New(rand.NewPCG(c.options.Seed, uint64(10+len(c.arrivals)))),
+	})
+}
+
 func (c *Caller) tickUntilDone(ctx context.Context) {
 	ticker := c.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -180,9 +188,8 @@
 		}
 		now := c.clock.Now()
 		c.mu.Lock()
-		if now.Before(end) {
-			c.arrive(now)
-		} else if !closed {
+		c.arrive(now, end)
+		if !closed && !now.Before(end) {
 			c.closeFeeds(now)
 			closed = true
 		}
@@ -194,14 +201,14 @@
 	}
 }
 
-// arrive starts the requests that are due. Feeds open evenly, the others
-// with exponential gaps.
-func (c *Caller) arrive(now time.Time) {
+// arrive starts the requests that are due, with exponential gaps unless they
+// are feeds.
+func (c *Caller) arrive(now, end time.Time) {
 	for _, a := range c.arrivals {
-		for a.left != 0 && !now.Before(a.next) {
+		for a.left != 0 && !now.Before(a.next) && a.next.Before(end) {
 			gap := a.mean
-			if a.verb != bvwire.VerbFeed {
-				gap = time.Duration(float64(a.mean) * c.random.ExpFloat64())
+			if a.random != nil {
+				gap = time.Duration(float64(a.mean) * a.random.ExpFloat64())
 			}
 			a.next = a.next.Add(gap)
 			a.left--
@@ -256,13 +263,23 @@
 			continue
 		}
 		c.mu.Lock()
-		if f := c.flows[s.Destination]; f != nil && f.service.Address == s.Source {
-			f.handle(c.clock.Now(), from, vni, s)
-		}
+		c.packet(from, vni, s)
 		c.mu.Unlock()
 	}
 }
 
+// packet passes an answer to its flow. A TCP segment without one gets a RST,
+// so that an upstream does not keep a connection that a late SYN opened.
+func (c *Caller) packet(from netip.AddrPort, vni uint32, s bvwire.Segment) {
+	f := c.flows[s.Destination]
+	switch {
+	case f != nil && f.service.Address == s.Source:
+		f.handle(c.clock.Now(), from, vni, s)
+	case !s.UDP && !s.RST && !s.Unreachable:
+		c.send(bvwire.ResetFor(s))
+	}
+}
+
 // tick advances all flows and returns the number of those without an
 // outcome. late is the time since the end of the run, negative before it.
 func (c *Caller) tick(now time.Time, late time.Duration) int {
--- a/standin/bvstandcaller/caller_test.go
+++ b/standin/bvstandcaller/caller_test.go
@@ -2,14 +2,21 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
+	"balsamvane/standin/bvstandupstream"
 	"balsamvane/standin/bvwire"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
 
@@ -144,6 +151,17 @@
 	assert.Equal(t, outcomeNames[outcomeReset], outcomeNames[r.f.outcome])
 }
 
+// TestCallerUnknownFlow guards against half-open connections that a late SYN
+// leaves at an upstream, and against RSTs that answer RSTs without end.
+func TestCallerUnknownFlow(t *testing.T) {
+	r := newRig(bench, "ticket")
+	r.sent = nil
+	s := bvwire.Segment{Source: bench.Address, Destination: netip.MustParseAddrPort("10.9.9.9:9"), SYN: true, ACK: true, Acknowledgment: 5}
+	r.c.packet(tunnel, 101, s)
+	r.c.packet(tunnel, 101, bvwire.Segment{Source: bench.Address, Destination: s.Destination, RST: true})
+	assert.Equal(t, []bvwire.Segment{bvwire.ResetFor(s)}, r.sent)
+}
+
 // TestCallerRefusals guards against refusals that are not recognized.
 func TestCallerRefusals(t *testing.T) {
 	r := newRig(bench, "ticket")
@@ -192,3 +210,54 @@
 		assert.Len(t, r.Verdict(c.fault), c.want, name)
 	}
 }
+
+// TestCallerArrivals guards against numbers of requests that depend on when
+// the process gets to run.
+func TestCallerArrivals(t *testing.T) {
+	count := func(step time.Duration) int {
+		clock := clockwork.NewFakeClockAt(time.Unix(1000, 0))
+		s := bench
+		s.Feeds, s.TicketsPerSecond, s.SummariesPerSecond = 5, 10, 3
+		c := New(Options{Seed: 1, FeedRamp: time.Second}, Traffic{Services: []Service{s}}, clock, zap.NewNop())
+		c.send = func(bvwire.Segment) {}
+		c.start()
+		for end := clock.Now().Add(20 * time.Second); clock.Now().Before(end.Add(step)); clock.Advance(step) {
+			c.arrive(clock.Now(), end)
+		}
+		return len(c.all)
+	}
+	assert.Equal(t, count(time.Millisecond), count(7*time.Second))
+	assert.Greater(t, count(time.Millisecond), 200)
+}
+
+// TestAudit guards against requests run twice, or run though refused, that
+// are not counted because an upstream has stopped or was read twice.
+func TestAudit(t *testing.T) {
+	live := bvstandupstream.Counts{Name: "u1", StartedAt: time.Unix(1, 0), Ran: map[string]int{"a": 1, "b": 1, "ticket-1": 1}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		assert.NoError(t, json.NewEncoder(w).Encode(live))
+	}))
+	defer server.Close()
+	health := netip.MustParseAddrPort(server.Listener.Addr().String())
+	gone := netip.MustParseAddrPort("127.0.0.1:1")
+	live.Health = health
+	r := newRig(bench, "ticket")
+	r.f.outcome = outcomeRefused
+	r.c.traffic.Upstreams = []netip.AddrPort{health, gone}
+	r.c.options.CountsDir = t.TempDir()
+	for name, n := range map[string]bvstandupstream.Counts{
+		"u1": live, // Stopped after it was read.
+		"u2": {Name: "u2", Ran: map[string]int{"a": 1}},
+		"u3": {Name: "u1", StartedAt: time.Unix(0, 0), Ran: map[string]int{"c": 2}},
+	} {
+		b, err := json.Marshal(n)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(filepath.Join(r.c.options.CountsDir, name+".json"), b, 0o600))
+	}
+	var got Report
+	got.Opened = map[string]int{}
+	r.c.audit(&got)
+	assert.Equal(t, 2, got.RanTwice, "a on two upstreams, c twice on one")
+	assert.Equal(t, 1, got.FalseRefusals)
+	assert.Equal(t, []string{gone.String()}, got.MissingCounts)
+}
--- a/standin/bvstandcaller/flow.go
+++ b/standin/bvstandcaller/flow.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -144,7 +145,13 @@
 	f.outcome = o
 }
 
-func (f *flow) request() []byte { return []byte(f.verb + " " + f.id + "\n") }
+func (f *flow) request() []byte {
+	line := f.verb + " " + f.id
+	if f.service.Deadline > 0 && f.verb != bvwire.VerbFeed {
+		line += " deadline=" + strconv.FormatInt(f.service.Deadline.Milliseconds(), 10)
+	}
+	return []byte(line + "\n")
+}
 
 func (f *flow) checkAnswer() {
 	a, err := bvwire.ParseAnswer(f.received)
--- a/standin/bvstandcaller/report.go
+++ b/standin/bvstandcaller/report.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -130,7 +131,19 @@
 // that have stopped from their files.
 func (c *Caller) collect(r *Report) []bvstandupstream.Counts {
 	var l []bvstandupstream.Counts
-	stopped := map[netip.AddrPort]bool{}
+	read := map[netip.AddrPort]bool{}
+	add := func(n bvstandupstream.Counts) {
+		read[n.Health] = true
+		// An upstream that stops in between is read twice.
+		if !slices.ContainsFunc(l, func(m bvstandupstream.Counts) bool { return m.Name == n.Name && m.StartedAt.Equal(n.StartedAt) }) {
+			l = append(l, n)
+		}
+	}
+	for _, a := range c.traffic.Upstreams {
+		if n, err := ReadCounts(a); err == nil {
+			add(n)
+		}
+	}
 	files, _ := filepath.Glob(filepath.Join(c.options.CountsDir, "*.json"))
 	for _, path := range files {
 		var n bvstandupstream.Counts
@@ -142,19 +155,12 @@
 			r.MissingCounts = append(r.MissingCounts, path)
 			continue
 		}
-		l = append(l, n)
-		stopped[n.Health] = true
+		add(n)
 	}
 	for _, a := range c.traffic.Upstreams {
-		if stopped[a] {
-			continue
-		}
-		n, err := ReadCounts(a)
-		if err != nil {
+		if !read[a] {
 			r.MissingCounts = append(r.MissingCounts, a.String())
-			continue
 		}
-		l = append(l, n)
 	}
 	return l
 }
--- a/standin/bvstandupstream/bvstandupstream.go
+++ b/standin/bvstandupstream/bvstandupstream.go
@@ -66,10 +66,12 @@
 
 // Counts is the content of /counts and of the counts file.
 type Counts struct {
-	Name    string         `json:"name"`
-	Service string         `json:"service"`
-	Tunnel  netip.AddrPort `json:"tunnel"`
-	Health  netip.AddrPort `json:"health"`
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	// StartedAt tells two processes of one VM apart.
+	StartedAt time.Time      `json:"startedAt"`
+	Tunnel    netip.AddrPort `json:"tunnel"`
+	Health    netip.AddrPort `json:"health"`
 	// Ran is the number of times that each request ID was run.
 	Ran map[string]int `json:"ran"`
 	// Packets is by VNI, Destinations by destination address inside the packet.
@@ -119,7 +121,7 @@
 		options: o, clock: clock, log: log, startedAt: now, coldSince: now,
 		flows: map[flowKey]*flow{},
 		counts: Counts{
-			Name: o.Name, Service: o.Service, Tunnel: o.Tunnel, Health: o.Health,
+			Name: o.Name, Service: o.Service, StartedAt: now, Tunnel: o.Tunnel, Health: o.Health,
 			Ran: map[string]int{}, Packets: map[string]uint64{}, Destinations: map[string]uint64{},
 		},
 	}
@@ -144,10 +146,12 @@
 	wg.Go(func() { _ = server.Serve(listener) })
 	wg.Go(u.receive)
 	u.tickUntilDrained(ctx)
-	_ = server.Close()
 	_ = socket.Close()
+	// /counts answers until the file is there.
+	err = u.writeCounts()
+	_ = server.Close()
 	wg.Wait()
-	return u.writeCounts()
+	return err
 }
 
 func (u *Upstream) tickUntilDrained(ctx context.Context) {
@@ -249,7 +253,9 @@
 	if u.options.CountsFile == "" {
 		return nil
 	}
+	u.mu.Lock()
 	b, err := json.Marshal(u.counts)
+	u.mu.Unlock()
 	if err != nil {
 		return eris.Wrap(err, "bvstandupstream: counts")
 	}
