Add settings, the daemon and the command line

Cause: the parts of a balancer are not wired into a process.

Change: bvsettings reads strict YAML and reports all findings with line and column. bvdaemon runs sockets, packet queues, actions, control calls and admin endpoints around a node, and makes a planned stop. cmd/balsamvane has run and version.

Ruled out: conc's context pool for the tasks, because it takes no new task while something waits for it and calls start at any time.

--- /dev/null
+++ b/cmd/balsamvane/version.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+)
+
+// newVersion returns the command that prints the version of the build.
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version of this build",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(c.OutOrStdout(), version())
+			return err
+		},
+	}
+}
+
+// version returns the module version and the revision of the source, as far
+// as the build recorded them.
+func version() string {
+	b, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "balsamvane (unknown version)"
+	}
+	out := "balsamvane " + b.Main.Version + " " + b.GoVersion
+	for _, s := range b.Settings {
+		if s.Key == "vcs.revision" {
+			out += " " + s.Value
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/bvdaemon/actions.go
@@ -0,0 +1,262 @@
+package bvdaemon
+
+import (
+	"context"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvnode"
+	"balsamvane/io/bvplatform"
+
+	"go.uber.org/zap"
+)
+
+// handle gives an event to the node and starts the actions that it asks for.
+// It is called from many goroutines and never from an action.
+func (d *Daemon) handle(e bvnode.Event) {
+	d.events.Lock()
+	defer d.events.Unlock()
+	for _, a := range d.ask(e) {
+		d.execute(a)
+	}
+}
+
+func (d *Daemon) ask(e bvnode.Event) []bvnode.Action {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Handle(d.clock.Now(), e)
+}
+
+// execute starts one action; none of them waits. The caller holds events.
+func (d *Daemon) execute(a bvnode.Action) {
+	switch a := a.(type) {
+	case bvnode.SendHeartbeat:
+		d.sendHeartbeat(a)
+	case bvnode.FetchConfig:
+		d.fetchConfig(a)
+	case bvnode.WatchPlatform:
+		d.watchPlatform(a.Enabled)
+	case bvnode.ReadPlatform:
+		d.readPlatform(a.Delay)
+	case bvnode.RequestSync:
+		d.requestSync(a)
+	case bvnode.PushRecords:
+		d.pushRecords(a)
+	case bvnode.SetProbes:
+		d.prober.Set(a.Upstreams)
+	case bvnode.Stop:
+		d.once.Do(func() {
+			d.log.Info("node is ready to stop", zap.Int("unpushedRecords", a.Unpushed))
+			close(d.stopped)
+		})
+	}
+}
+
+func (d *Daemon) sendHeartbeat(a bvnode.SendHeartbeat) {
+	h := a.Heartbeat
+	d.last.Store(&h)
+	b, err := d.codec.AppendHeartbeat(nil, h)
+	if err != nil {
+		d.counters.heartbeatsFailed.Inc(int64(len(a.To)))
+		d.log.Warn("heartbeat cannot be encoded", zap.Error(err))
+		return
+	}
+	for _, to := range a.To {
+		if err := d.peer[0].Send(b, to); err != nil {
+			d.counters.heartbeatsFailed.Inc(1)
+		}
+	}
+}
+
+// call runs f in a goroutine if fewer than maxCalls are in progress, and
+// otherwise failed at once, also in a goroutine, because the caller holds
+// events.
+func (d *Daemon) call(f func(context.Context), failed func()) {
+	select {
+	case d.calls <- struct{}{}:
+	default:
+		d.counters.callsDropped.Inc(1)
+		if failed != nil {
+			d.spawn(func(context.Context) error { failed(); return nil })
+		}
+		return
+	}
+	d.spawn(func(ctx context.Context) error {
+		defer func() { <-d.calls }()
+		f(ctx)
+		return nil
+	})
+}
+
+func (d *Daemon) fetchConfig(a bvnode.FetchConfig) {
+	if !d.refetch.CompareAndSwap(false, true) {
+		return // One fetch at a time; the node asks again.
+	}
+	d.call(func(ctx context.Context) {
+		defer d.refetch.Store(false)
+		b, err := d.client.Fetch(ctx, a.Control)
+		if err != nil {
+			d.log.Warn("configuration cannot be fetched from peer", zap.Stringer("peer", a.Control), zap.Error(err))
+			return
+		}
+		d.offer(b, false)
+	}, func() { d.refetch.Store(false) })
+}
+
+// watchPlatform starts or stops the watch.
+func (d *Daemon) watchPlatform(enabled bool) {
+	if d.watch != nil {
+		d.watch()
+		d.watch = nil
+	}
+	if !enabled {
+		return
+	}
+	ctx, cancel := context.WithCancel(d.tasks.context)
+	d.watch = cancel
+	d.spawn(func(context.Context) error {
+		_ = d.platform.Watch(ctx, d.watched) // Ends with ctx only.
+		return nil
+	})
+}
+
+func (d *Daemon) watched(u bvplatform.Update) {
+	switch {
+	case u.Err != nil:
+		d.log.Warn("platform watch failed", zap.Error(u.Err))
+	case u.Bundle.Manifest == nil:
+		d.handle(bvnode.PlatformContacted{})
+	default:
+		d.offer(u.Bundle, true)
+	}
+}
+
+// readPlatform reads once after a delay. Waiting does not count as a call in
+// progress.
+func (d *Daemon) readPlatform(delay time.Duration) {
+	d.spawn(func(ctx context.Context) error {
+		if delay > 0 && !d.sleep(ctx, delay) {
+			return nil
+		}
+		b, err := d.platform.Read(ctx)
+		if err != nil {
+			d.log.Warn("platform cannot be read", zap.Error(err))
+			return nil
+		}
+		d.offer(b, true)
+		return nil
+	})
+}
+
+func (d *Daemon) sleep(ctx context.Context, t time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-d.clock.After(t):
+		return true
+	}
+}
+
+// offer decodes a configuration and gives it to the node. A configuration with
+// findings leaves the accepted one in force.
+func (d *Daemon) offer(b bvplatform.Bundle, fromPlatform bool) {
+	c, findings := d.options.Decode(b.Manifest, b.Parts)
+	if err := findings.Err(); err != nil {
+		d.counters.configRejected.Inc(1)
+		d.log.Error("configuration is not valid", zap.Bool("fromPlatform", fromPlatform), zap.Error(err))
+		if fromPlatform {
+			d.handle(bvnode.PlatformContacted{})
+		}
+		return
+	}
+	d.handle(bvnode.ConfigOffered{Config: c, FromPlatform: fromPlatform})
+	d.mu.Lock()
+	now, ok := d.node.Config()
+	d.mu.Unlock()
+	old := d.bundle.Load()
+	if !ok || now.Version != c.Version || old != nil && old.version == c.Version {
+		return
+	}
+	d.bundle.Store(&accepted{version: c.Version, bundle: b})
+	d.client.Known(b)
+	at := d.clock.Now()
+	d.since.Store(&at)
+	d.log.Info("configuration accepted", zap.Uint64("revision", c.Version.Revision), zap.Bool("fromPlatform", fromPlatform))
+}
+
+func (d *Daemon) requestSync(a bvnode.RequestSync) {
+	failed := func() { d.handle(bvnode.SyncFailed{From: a.From}) }
+	d.call(func(ctx context.Context) {
+		r, err := d.client.Sync(ctx, a.Control, a.Cursor, a.Limit)
+		if err != nil {
+			d.log.Warn("peer cannot be synced with", zap.Stringer("peer", a.Control), zap.Error(err))
+			failed()
+			return
+		}
+		r.From = a.From // What was asked, whatever the answer claims.
+		d.handle(r)
+	}, failed)
+}
+
+func (d *Daemon) pushRecords(a bvnode.PushRecords) {
+	failed := func() { d.handle(bvnode.SyncFailed{From: a.To}) }
+	d.call(func(ctx context.Context) {
+		if err := d.client.Push(ctx, a.Control, a.Records); err != nil {
+			d.log.Warn("records cannot be pushed to peer", zap.Stringer("peer", a.Control), zap.Error(err))
+			failed()
+			return
+		}
+		d.handle(bvnode.PushAcknowledged{From: a.To, Sequence: a.Sequence})
+	}, failed)
+}
+
+// readVMs reads the platform's list of VMs again and again. The times are
+// spread over the fleet by the node's ID.
+func (d *Daemon) readVMs(ctx context.Context) error {
+	delay := time.Duration(uint64(d.self) % uint64(vmListInterval))
+	for d.sleep(ctx, delay) {
+		delay = vmListInterval
+		b, err := d.platform.VMs(ctx)
+		if err != nil {
+			d.log.Warn("list of VMs cannot be read", zap.Error(err))
+			continue
+		}
+		l, err := bvplatform.DecodeVMs(b)
+		if err != nil {
+			d.log.Warn("list of VMs is malformed", zap.Error(err))
+			continue
+		}
+		d.handle(bvnode.VMListRead{VMs: l})
+	}
+	return nil
+}
+
+// peerHandler answers the calls of peers from the node.
+type peerHandler struct {
+	daemon *Daemon
+}
+
+// Sync implements bvpeer.Handler.
+func (h peerHandler) Sync(from bvconfig.NodeID, cursor uint64, limit int) bvnode.SyncReceived {
+	defer h.daemon.guard()
+	h.daemon.mu.Lock()
+	defer h.daemon.mu.Unlock()
+	r := h.daemon.node.SyncRequest(h.daemon.clock.Now(), from, cursor, limit)
+	r.From = h.daemon.self
+	return r
+}
+
+// Push implements bvpeer.Handler.
+func (h peerHandler) Push(from bvconfig.NodeID, l []bvnode.FlowRecord) {
+	defer h.daemon.guard()
+	h.daemon.handle(bvnode.RecordsPushed{From: from, Records: l})
+}
+
+// Bundle implements bvpeer.Handler.
+func (h peerHandler) Bundle() (bvplatform.Bundle, bool) {
+	a := h.daemon.bundle.Load()
+	if a == nil {
+		return bvplatform.Bundle{}, false
+	}
+	return a.bundle, true
+}
--- /dev/null
+++ b/io/bvdaemon/bvdaemon_test.go
@@ -0,0 +1,337 @@
+package bvdaemon
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvfinding"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvmember"
+	"balsamvane/core/bvnode"
+	"balsamvane/core/bvroute"
+	"balsamvane/io/bvpeer"
+	"balsamvane/io/bvsettings"
+	"balsamvane/io/bvtunnel"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap/zaptest"
+)
+
+// fakeNode answers packets by their destination port and events by a list.
+type fakeNode struct {
+	decide  map[uint16]bvroute.Decision
+	actions func(bvnode.Event) []bvnode.Action
+
+	mu      sync.Mutex
+	config  *bvconfig.Config
+	records []bvroute.Record
+	events  chan bvnode.Event
+}
+
+func (n *fakeNode) Packet(_ time.Time, p bvflow.Packet, _ bvroute.Trail, r bvroute.Record) bvroute.Decision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.records = append(n.records, r)
+	return n.decide[p.Destination.Port()]
+}
+
+func (n *fakeNode) Handle(_ time.Time, e bvnode.Event) []bvnode.Action {
+	switch e := e.(type) {
+	case bvnode.Tick:
+	case bvnode.ConfigOffered:
+		n.mu.Lock()
+		n.config = &e.Config
+		n.mu.Unlock()
+		n.events <- e
+	default:
+		n.events <- e
+	}
+	return n.actions(e)
+}
+
+func (n *fakeNode) SyncRequest(time.Time, bvconfig.NodeID, uint64, int) bvnode.SyncReceived {
+	return bvnode.SyncReceived{Done: true, BaseRevision: 4}
+}
+
+func (n *fakeNode) Config() (bvconfig.Config, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.config == nil {
+		return bvconfig.Config{}, false
+	}
+	return *n.config, true
+}
+
+// bench is a running daemon with sockets around it.
+type bench struct {
+	daemon   *Daemon
+	node     *fakeNode
+	clock    *clockwork.FakeClock
+	outside  *bvtunnel.Socket // Stands for upstream, peer and fabric return.
+	codec    *bvtunnel.Codec
+	keys     *bvtunnel.KeyFile
+	received [][]byte
+}
+
+func start(t *testing.T) *bench {
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	outside, err := bvtunnel.Listen(t.Context(), local, 1)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = outside[0].Close() })
+	key := filepath.Join(t.TempDir(), "key")
+	require.NoError(t, os.WriteFile(key, []byte("0123456789abcdef"), 0o600))
+	keys, err := bvtunnel.NewKeyFile(key)
+	require.NoError(t, err)
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Platform-Revision", "1")
+		_, _ = w.Write([]byte(`{"group":"g","revision":1,"parts":[]}`))
+	}))
+	t.Cleanup(platform.Close)
+	s := bvsettings.Default()
+	s.Node, s.Zone, s.Group, s.Keys.Peer = "n", "z", "g", key
+	s.Listen = bvsettings.Listen{Fabric: local, Peer: local, Control: local, Admin: local}
+	s.Fabric.Return = outside[0].Address()
+	s.Platform.Addresses = []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(platform.URL, "http://"))}
+	to := outside[0].Address()
+	n := &fakeNode{events: make(chan bvnode.Event, 100), decide: map[uint16]bvroute.Decision{
+		1: {Verdict: bvroute.VerdictUpstream, Tunnel: to, VNI: 77},
+		2: {Verdict: bvroute.VerdictHandOn, Tunnel: to, Trail: bvroute.Trail{}.With(5), Record: bvroute.Record{Kind: bvroute.RecordPlaced, Upstream: 9}},
+		3: {Verdict: bvroute.VerdictRefuse, Reason: bvroute.ReasonNoCapacity, VNI: 78},
+		4: {Verdict: bvroute.VerdictDrop, Reason: bvroute.ReasonZoneOut},
+	}}
+	n.actions = func(e bvnode.Event) []bvnode.Action {
+		switch e := e.(type) {
+		case bvnode.HeartbeatReceived: // The test drives other actions with these.
+			h := bvmember.Heartbeat{Node: 1, Incarnation: 2, State: bvmember.StateActive, BaseRevision: e.Heartbeat.BaseRevision}
+			return []bvnode.Action{bvnode.SendHeartbeat{To: []netip.AddrPort{to}, Heartbeat: h}, bvnode.ReadPlatform{}}
+		case bvnode.StopRequested:
+			return []bvnode.Action{bvnode.Stop{}}
+		default:
+			return nil
+		}
+	}
+	clock := clockwork.NewFakeClock()
+	d, err := New(s, clock, zaptest.NewLogger(t), n, Options{
+		Incarnation: 1,
+		Decode: func(manifest []byte, _ map[string][]byte) (bvconfig.Config, bvfinding.List) {
+			var v struct{ Revision uint64 }
+			_ = json.Unmarshal(manifest, &v)
+			return bvconfig.Config{Version: bvconfig.Version{Revision: v.Revision}}, bvfinding.List{}
+		},
+		Dump: func(time.Time, url.Values) (any, error) { return "state", nil },
+	})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-done)
+	})
+	return &bench{
+		daemon: d, node: n, clock: clock, outside: outside[0],
+		codec: bvtunnel.NewCodec(keys), keys: keys,
+	}
+}
+
+// receive returns the next packet that the daemon sends.
+func (b *bench) receive(t *testing.T) []byte {
+	for len(b.received) == 0 {
+		in := bvtunnel.NewInBatch()
+		require.NoError(t, b.outside.Read(in))
+		for i := range in.Len() {
+			b.received = append(b.received, in.Packet(i))
+		}
+	}
+	p := b.received[0]
+	b.received = b.received[1:]
+	return p
+}
+
+func syn(t testing.TB, port uint16, ack bool) []byte {
+	ip := &layers.IPv4{
+		Version: 4, IHL: 5, TTL: 9, Protocol: layers.IPProtocolTCP,
+		SrcIP: net.IP{192, 0, 2, 1}, DstIP: net.IP{198, 51, 100, 1},
+	}
+	h := &layers.TCP{SrcPort: 1000, DstPort: layers.TCPPort(port), SYN: !ack, ACK: ack}
+	require.NoError(t, h.SetNetworkLayerForChecksum(ip))
+	b := gopacket.NewSerializeBuffer()
+	require.NoError(t, gopacket.SerializeLayers(b, gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}, ip, h))
+	return b.Bytes()
+}
+
+func (b *bench) fabricSend(t *testing.T, inner []byte) {
+	p, err := bvtunnel.AppendPlain(nil, 5, inner)
+	require.NoError(t, err)
+	require.NoError(t, b.outside.Send(p, b.daemon.Addresses().Fabric))
+}
+
+// TestPackets guards against verdicts that are carried out in another way than
+// decided.
+func TestPackets(t *testing.T) {
+	b := start(t)
+	b.fabricSend(t, syn(t, 1, false))
+	vni, inner, err := bvtunnel.DecodeFabric(b.receive(t))
+	require.NoError(t, err)
+	assert.Equal(t, uint32(77), vni)
+	assert.Equal(t, syn(t, 1, false), inner)
+
+	b.fabricSend(t, syn(t, 2, false))
+	h, err := b.codec.DecodeHanded(b.receive(t))
+	require.NoError(t, err)
+	assert.Equal(t, bvtunnel.Handed{
+		VNI: 5, Sender: bvconfig.NodeIDOf("n"), Incarnation: 1, Inner: syn(t, 2, false),
+		Trail: bvroute.Trail{}.With(5), Record: bvroute.Record{Kind: bvroute.RecordPlaced, Upstream: 9},
+	}, h)
+
+	b.fabricSend(t, []byte{0x45}) // Malformed; the next one must get through.
+	b.fabricSend(t, syn(t, 4, false))
+	b.fabricSend(t, syn(t, 3, false))
+	vni, inner, err = bvtunnel.DecodeFabric(b.receive(t))
+	require.NoError(t, err)
+	assert.Equal(t, uint32(78), vni)
+	var p bvflow.Parser
+	rst, err := p.Parse(inner)
+	require.NoError(t, err)
+	assert.Equal(t, bvflow.PhaseReset, rst.Phase)
+}
+
+// TestPeerPackets guards against handed-on packets without a MAC or from an
+// older incarnation that reach the node.
+func TestPeerPackets(t *testing.T) {
+	b := start(t)
+	to := b.daemon.Addresses().Peer
+	plain, err := bvtunnel.AppendPlain(nil, 5, syn(t, 1, false))
+	require.NoError(t, err)
+	require.NoError(t, b.outside.Send(plain, to))
+	send := func(incarnation uint64, u bvconfig.UpstreamID) {
+		p, err := b.codec.AppendHanded(nil, bvtunnel.Handed{
+			Sender: 8, Incarnation: incarnation, Inner: syn(t, 1, false),
+			Record: bvroute.Record{Kind: bvroute.RecordPlaced, Upstream: u},
+		})
+		require.NoError(t, err)
+		require.NoError(t, b.outside.Send(p, to))
+	}
+	send(3, 1)
+	send(2, 2)
+	send(4, 3)
+	b.receive(t)
+	b.receive(t)
+	b.node.mu.Lock()
+	defer b.node.mu.Unlock()
+	assert.Equal(t, []bvroute.Record{
+		{Kind: bvroute.RecordPlaced, Upstream: 1},
+		{Kind: bvroute.RecordPlaced, Upstream: 3},
+	}, b.node.records)
+}
+
+// TestControl guards against actions that are lost between node and network:
+// heartbeats, platform reads, fetches, and what operators see.
+func TestControl(t *testing.T) {
+	b := start(t)
+	hb, err := b.codec.AppendHeartbeat(nil, bvmember.Heartbeat{Node: 8, Incarnation: 1, BaseRevision: 6})
+	require.NoError(t, err)
+	require.NoError(t, b.outside.Send(hb, b.daemon.Addresses().Peer))
+	assert.IsType(t, bvnode.HeartbeatReceived{}, <-b.node.events)
+	got, err := b.codec.DecodeHeartbeat(b.receive(t))
+	require.NoError(t, err)
+	assert.Equal(t, uint64(6), got.BaseRevision)
+	offered := (<-b.node.events).(bvnode.ConfigOffered)
+	assert.True(t, offered.FromPlatform)
+	assert.Equal(t, uint64(1), offered.Config.Version.Revision)
+
+	c := bvpeer.NewClient(8, bvpeer.Credentials{Keys: b.keys}, b.clock, bvpeer.Options{})
+	control := b.daemon.Addresses().Control
+	require.Eventually(t, func() bool {
+		f, err := c.Fetch(t.Context(), control)
+		return err == nil && string(f.Manifest) == `{"group":"g","revision":1,"parts":[]}`
+	}, time.Minute, time.Millisecond)
+	r, err := c.Sync(t.Context(), control, 0, 10)
+	require.NoError(t, err)
+	assert.Equal(t, bvnode.SyncReceived{
+		From: bvconfig.NodeIDOf("n"), Done: true, BaseRevision: 4,
+		Records: []bvnode.FlowRecord{}, Warm: []bvnode.WarmState{},
+	}, r)
+	l := []bvnode.FlowRecord{{Key: [16]byte{1}, Kind: bvroute.RecordPlaced, Upstream: 2}}
+	require.NoError(t, c.Push(t.Context(), control, l))
+	assert.Equal(t, bvnode.RecordsPushed{From: 8, Records: l}, <-b.node.events)
+
+	body := get(t, "http://"+b.daemon.Addresses().Admin.String()+"/dump?vm=x")
+	assert.Contains(t, body, `"state": "active"`)
+	assert.Contains(t, body, `"node": "state"`)
+	assert.Equal(t, "ready\n", get(t, "http://"+b.daemon.Addresses().Admin.String()+"/ready"))
+}
+
+func get(t *testing.T, u string) string {
+	resp, err := http.Get(u)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
+// TestBusyQueue guards against established packets that are dropped while
+// openings still get through.
+func TestBusyQueue(t *testing.T) {
+	b := start(t)
+	q := newQueue(400)
+	sockets, err := bvtunnel.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), 1)
+	require.NoError(t, err)
+	defer func() { _ = sockets[0].Close() }()
+	r := &reader{daemon: b.daemon, socket: sockets[0], queue: q, decode: (*reader).fromFabric}
+	w := <-q.free
+	for _, inner := range [][]byte{syn(t, 1, false), syn(t, 1, true)} {
+		p, err := bvtunnel.AppendPlain(nil, 5, inner)
+		require.NoError(t, err)
+		require.NoError(t, b.outside.Send(p, sockets[0].Address()))
+	}
+	for got := 0; got < 2; { // Both packets may come in one batch or in two.
+		require.NoError(t, sockets[0].Read(w.in))
+		got += w.in.Len()
+		q.depth.Store(q.bound)
+		r.fill(w)
+		for _, it := range w.items {
+			assert.Equal(t, bvflow.PhaseEstablished, it.packet.Phase)
+		}
+		if got == 2 {
+			assert.Len(t, w.items, 1)
+		}
+	}
+}
+
+// TestPeerTable guards against an older incarnation that is accepted.
+func TestPeerTable(t *testing.T) {
+	p := newPeerTable()
+	assert.True(t, p.accept(1, 5))
+	assert.True(t, p.accept(1, 5))
+	assert.False(t, p.accept(1, 4))
+	assert.True(t, p.accept(1, 6))
+	assert.False(t, p.accept(1, 5))
+	assert.True(t, p.accept(2, 1))
+}
+
+// TestReasons guards against a reason without a name in the metrics.
+func TestReasons(t *testing.T) {
+	for _, r := range reasons {
+		assert.NotEmpty(t, r)
+	}
+	assert.Len(t, reasons, int(bvroute.ReasonUnknownUpstream)+1)
+}
--- /dev/null
+++ b/io/bvsettings/fields.go
@@ -0,0 +1,176 @@
+package bvsettings
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// field is one setting: its path in the file and its place in Settings.
+type field struct {
+	path     string
+	required bool
+	of       func(*Settings) any
+	check    func(*Settings) string // Returns what is wrong, or nothing.
+}
+
+const (
+	maxFlows = 1 << 26
+	maxQueue = 1 << 16
+)
+
+var levels = []string{"debug", "info", "warn", "error"}
+
+var fields = []field{
+	{path: "node", required: true, of: func(s *Settings) any { return &s.Node }},
+	{path: "zone", required: true, of: func(s *Settings) any { return &s.Zone }},
+	{path: "group", required: true, of: func(s *Settings) any { return &s.Group }, check: func(s *Settings) string {
+		if strings.ContainsAny(s.Group, "/?#% ") {
+			return "group is part of the platform's keys and must not contain /, ?, #, % or spaces"
+		}
+		return ""
+	}},
+	{path: "listen.fabric", required: true, of: func(s *Settings) any { return &s.Listen.Fabric }},
+	{path: "listen.peer", required: true, of: func(s *Settings) any { return &s.Listen.Peer }},
+	{path: "listen.control", required: true, of: func(s *Settings) any { return &s.Listen.Control }},
+	{path: "listen.admin", of: func(s *Settings) any { return &s.Listen.Admin }},
+	{path: "fabric.return", required: true, of: func(s *Settings) any { return &s.Fabric.Return }},
+	{path: "platform.addresses", required: true, of: func(s *Settings) any { return &s.Platform.Addresses }},
+	{path: "platform.readTimeout", of: func(s *Settings) any { return &s.Platform.ReadTimeout }},
+	{path: "platform.watchWait", of: func(s *Settings) any { return &s.Platform.WatchWait }, check: func(s *Settings) string {
+		if s.Platform.WatchWait < time.Second {
+			return "watchWait is sent in whole seconds and must be at least 1s"
+		}
+		return ""
+	}},
+	{path: "keys.peer", required: true, of: func(s *Settings) any { return &s.Keys.Peer }},
+	{path: "tls.certificate", of: func(s *Settings) any { return &s.TLS.Certificate }},
+	{path: "tls.key", of: func(s *Settings) any { return &s.TLS.Key }},
+	{path: "tls.authority", of: func(s *Settings) any { return &s.TLS.Authority }},
+	{path: "limits.flows", of: func(s *Settings) any { return &s.Limits.Flows }, check: func(s *Settings) string {
+		return atMost(s.Limits.Flows, maxFlows)
+	}},
+	{path: "limits.packetQueue", of: func(s *Settings) any { return &s.Limits.PacketQueue }, check: func(s *Settings) string {
+		return atMost(s.Limits.PacketQueue, maxQueue)
+	}},
+	{path: "limits.controlBytesPerSecond", of: func(s *Settings) any { return &s.Limits.ControlBytesPerSecond }},
+	{path: "timeouts.idle", of: func(s *Settings) any { return &s.Timeouts.Idle }},
+	{path: "timeouts.opening", of: func(s *Settings) any { return &s.Timeouts.Opening }},
+	{path: "timeouts.stop", of: func(s *Settings) any { return &s.Timeouts.Stop }},
+	{path: "log.level", of: func(s *Settings) any { return &s.LogLevel }, check: func(s *Settings) string {
+		if !slices.Contains(levels, s.LogLevel) {
+			return "level is none of " + strings.Join(levels, ", ")
+		}
+		return ""
+	}},
+}
+
+func atMost(v, most int) string {
+	if v > most {
+		return fmt.Sprintf("%d is more than %d", v, most)
+	}
+	return ""
+}
+
+// set stores the value of a YAML node. It returns what is wrong and what to
+// write instead, or nothing.
+func set(to any, n *yaml.Node) (problem, remedy string) {
+	switch v := to.(type) {
+	case *string:
+		if n.Kind != yaml.ScalarNode || n.ShortTag() != "!!str" {
+			return "value is not a text", "write a text; quote it if it looks like a number"
+		}
+		*v = n.Value
+	case *int:
+		i, err := strconv.Atoi(n.Value)
+		if n.Kind != yaml.ScalarNode || err != nil || i < 1 {
+			return "value is not a whole number above 0", "write a number such as 1000"
+		}
+		*v = i
+	case *time.Duration:
+		d, err := time.ParseDuration(n.Value)
+		if n.Kind != yaml.ScalarNode || err != nil || d <= 0 {
+			return "value is not a duration above 0", "write a duration such as 30s or 2h"
+		}
+		*v = d
+	case *netip.AddrPort:
+		a, err := netip.ParseAddrPort(n.Value)
+		if n.Kind != yaml.ScalarNode || err != nil {
+			return "value is not an IP address with port", "write an address such as 192.0.2.1:6081 or [2001:db8::1]:6081"
+		}
+		*v = a
+	case *[]netip.AddrPort:
+		return setList(v, n)
+	}
+	return "", ""
+}
+
+func setList(to *[]netip.AddrPort, n *yaml.Node) (problem, remedy string) {
+	remedy = "write a list such as [192.0.2.1:8080, 192.0.2.2:8080]"
+	if n.Kind != yaml.SequenceNode || len(n.Content) == 0 {
+		return "value is not a list of IP addresses with ports", remedy
+	}
+	*to = nil
+	for _, e := range n.Content {
+		var a netip.AddrPort
+		if p, _ := set(&a, e); p != "" {
+			return "list has an entry that is not an IP address with port", remedy
+		}
+		*to = append(*to, a)
+	}
+	return "", ""
+}
+
+// put adds the setting to the YAML mapping under root.
+func (f field) put(root *yaml.Node, value any) {
+	group, name, nested := strings.Cut(f.path, ".")
+	if nested {
+		root = child(root, group)
+	} else {
+		name = group
+	}
+	key, v := scalar(name), scalar("")
+	switch value := value.(type) {
+	case *string:
+		v.Value = *value
+	case *int:
+		v = &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!int", Value: strconv.Itoa(*value)}
+	case *time.Duration:
+		v.Value = value.String()
+	case *netip.AddrPort:
+		if value.IsValid() {
+			v.Value = value.String()
+		}
+	case *[]netip.AddrPort:
+		v = &yaml.Node{Kind: yaml.SequenceNode, Style: yaml.FlowStyle}
+	}
+	if f.required {
+		v.LineComment = "required"
+	}
+	root.Content = append(root.Content, key, v)
+}
+
+func scalar(s string) *yaml.Node {
+	n := &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!str", Value: s}
+	if s == "" {
+		n.Style = yaml.DoubleQuotedStyle
+	}
+	return n
+}
+
+// child returns the mapping under key, which it makes if there is none.
+func child(root *yaml.Node, key string) *yaml.Node {
+	for i := 0; i+1 < len(root.Content); i += 2 {
+		if root.Content[i].Value == key {
+			return root.Content[i+1]
+		}
+	}
+	m := &yaml.Node{Kind: yaml.MappingNode}
+	root.Content = append(root.Content, scalar(key), m)
+	return m
+}
--- a/io/bvtunnel/socket.go
+++ b/io/bvtunnel/socket.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/ipv4"
@@ -68,6 +69,9 @@
 // Close closes the socket; reads return an error.
 func (s *Socket) Close() error { return s.conn.Close() }
 
+// SetReadDeadline makes reads fail after t of the system's clock.
+func (s *Socket) SetReadDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
+
 // Send sends one packet.
 func (s *Socket) Send(b []byte, to netip.AddrPort) error {
 	_, err := s.conn.WriteToUDPAddrPort(b, to)
