Report a mistake once instead of on each row

Requiring exactly one finding in the table of single mistakes showed that a missing or invalid group name gave one finding for each row, and that rules that are not YAML or a register without its columns gave follow-on findings for all rows and rules. These are now reported once.

diff no longer says that the hash seed differs for a group that is new or gone. File flags complete by kind of file.

--- a/cmd/balsamvane/check.go
+++ b/cmd/balsamvane/check.go
@@ -43,6 +43,7 @@
 	c.Flags().StringVar(&in.rules, "rules", "", "rules (YAML)")
 	c.Flags().StringVar(&in.published, "published", "", "directory that import wrote")
 	c.MarkFlagsOneRequired("settings", "register", "rules", "published")
+	completeFiles(c)
 	format.addTo(c)
 	return c
 }
--- a/cmd/balsamvane/import.go
+++ b/cmd/balsamvane/import.go
@@ -52,6 +52,7 @@
 	c.Flags().StringVar(&register, "register", "", "asset register (CSV)")
 	c.Flags().StringVar(&rules, "rules", "", "rules (YAML)")
 	c.Flags().StringVarP(&directory, "out", "o", "", "directory for the values to publish")
+	completeFiles(c)
 	format.addTo(c)
 	mustFlags(c, "register", "rules", "out")
 	return c
--- a/cmd/balsamvane/output.go
+++ b/cmd/balsamvane/output.go
@@ -66,6 +66,20 @@
 	_ = c.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{"text", "json"}, cobra.ShellCompDirectiveNoFileComp))
 }
 
+// completeFiles completes the file flags of a command by kind of file.
+func completeFiles(c *cobra.Command) {
+	for n, kinds := range map[string][]string{"register": {"csv"}, "rules": {"yaml", "yml"}, "settings": {"yaml", "yml"}} {
+		if c.Flags().Lookup(n) != nil {
+			_ = c.MarkFlagFilename(n, kinds...)
+		}
+	}
+	for _, n := range []string{"out", "published"} {
+		if c.Flags().Lookup(n) != nil {
+			_ = c.MarkFlagDirname(n)
+		}
+	}
+}
+
 // mustFlags marks flags that must be given.
 func mustFlags(c *cobra.Command, names ...string) {
 	for _, n := range names {
--- a/core/bvregister/build.go
+++ b/core/bvregister/build.go
@@ -43,6 +43,8 @@
 	group string
 	place bvfinding.Place
 	rules serviceRules
+	// badVNI tells that a row has a VNI that has been reported already.
+	badVNI bool
 	// upstreams counts the VMs; taking counts those that get new flows.
 	upstreams, taking int
 	// lastRule is the last rule that keeps a VM from getting new flows.
@@ -99,23 +101,23 @@
 }
 
 // group returns the configuration of a row's group; explicit is the name that
-// the row or its service gives.
-func (b *builder) group(w *row, explicit string) (*bvconfig.Config, bool) {
+// the row or its service gives. A missing or invalid name is reported once, and
+// stands for a group in all further checks.
+func (b *builder) group(w *row, explicit string) *bvconfig.Config {
 	name := cmp.Or(explicit, b.rules.group)
-	if name == "" {
-		b.add(w, colGroup, "no group is given", "write \"group: NAME\" in the rules, or add a column group to the register")
-		return nil, false
+	c, ok := b.groups[name]
+	if ok {
+		return c
 	}
-	if !validName(name) {
+	switch {
+	case name == "":
+		b.add(w, colGroup, "no group is given", "write \"group: NAME\" in the rules, or add a column group to the register")
+	case explicit != "" && !validName(name):
 		b.add(w, colGroup, "group "+quote(name)+" is not a valid name", nameRemedy)
-		return nil, false
-	}
-	c, ok := b.groups[name]
-	if !ok {
-		c = &bvconfig.Config{Group: name, HashSeed: b.rules.hashSeed}
-		b.groups[name] = c
 	}
-	return c, true
+	c = &bvconfig.Config{Group: name, HashSeed: b.rules.hashSeed}
+	b.groups[name] = c
+	return c
 }
 
 // serviceRow adds an address to a service. A service has one row for each
@@ -125,10 +127,7 @@
 	if !ok {
 		return
 	}
-	c, ok := b.group(w, w.text(colGroup))
-	if !ok {
-		return
-	}
+	c := b.group(w, w.text(colGroup))
 	s, known := b.services[name]
 	if !known {
 		s = b.newService(name, c.Group, b.at(w, colService))
@@ -194,6 +193,7 @@
 func (b *builder) vni(w *row, s *service) {
 	v := b.number(w, colVNI, 0, bvconfig.MaxVNI)
 	if v == 0 {
+		s.badVNI = s.badVNI || w.text(colVNI) != ""
 		return
 	}
 	if s.VNI != 0 && s.VNI != v {
@@ -244,9 +244,9 @@
 
 // balancerRow adds a balancer.
 func (b *builder) balancerRow(w *row) {
-	c, ok := b.group(w, w.text(colGroup))
-	u, usable := b.vm(w)
-	if !ok || !usable {
+	c := b.group(w, w.text(colGroup))
+	u, ok := b.vm(w)
+	if !ok {
 		return
 	}
 	b.zones[u.zone].balancers[c.Group] = true
--- a/core/bvregister/bvregister.go
+++ b/core/bvregister/bvregister.go
@@ -69,8 +69,14 @@
 // empty and nothing may be published.
 func Import(register, rules Source, previous map[string]Published) (Bundle, bvfinding.List) {
 	var l bvfinding.List
-	r := readRules(rules, &l)
-	rows := readRegister(register, r, &l)
+	r, ok := readRules(rules, &l)
+	if !ok {
+		return Bundle{}, l
+	}
+	rows, ok := readRegister(register, r, &l)
+	if !ok {
+		return Bundle{}, l // Nothing can be said of rows without columns.
+	}
 	configs := build(register.Name, rows, r, publishedVNIs(previous, &l), &l)
 	if !l.Empty() {
 		return Bundle{}, l
--- a/core/bvregister/consistency.go
+++ b/core/bvregister/consistency.go
@@ -64,6 +64,9 @@
 // not received the change yet could send packets of the first service to a VM
 // that the second one has taken over, and the VM would accept them.
 func (b *builder) finishVNI(s *service) {
+	if s.VNI == 0 && s.badVNI {
+		return
+	}
 	if s.VNI == 0 {
 		b.list.Add(s.place, "service "+quote(s.Name)+" has no VNI", "write its VNI in column vni of a row of the service, or as vni in the rules")
 		return
@@ -87,7 +90,7 @@
 	for _, n := range slices.Sorted(maps.Keys(b.zones)) {
 		z := b.zones[n]
 		for _, g := range slices.Sorted(maps.Keys(z.upstreams)) {
-			if !z.balancers[g] {
+			if !z.balancers[g] && validName(g) { // An invalid name is reported already.
 				b.list.Add(z.place, "zone "+quote(n)+" has upstreams of group "+quote(g)+" but no balancer of it",
 					"add a row with role balancer in this zone; only balancers of a zone send flows to its VMs")
 			}
--- a/core/bvregister/csv.go
+++ b/core/bvregister/csv.go
@@ -80,21 +80,21 @@
 	return bvfinding.Place{File: r.file, Line: line, Column: column}
 }
 
-// readRegister returns the rows of the register that can be used.
-func readRegister(s Source, rules rules, l *bvfinding.List) []row {
+// readRegister returns the rows of the register that can be used; ok is false
+// if the first line does not tell where the columns are.
+func readRegister(s Source, rules rules, l *bvfinding.List) (rows []row, ok bool) {
 	content := bytes.TrimPrefix(s.Content, []byte("\xef\xbb\xbf"))
 	r := &registerReader{file: s.Name, rules: rules, csv: csv.NewReader(bytes.NewReader(content)), list: l}
 	r.csv.FieldsPerRecord = -1
 	r.csv.ReuseRecord = true
 	r.csv.Comma = rules.separator
 	if !r.header() {
-		return nil
+		return nil, false
 	}
-	var rows []row
 	for {
 		record, err := r.csv.Read()
 		if errors.Is(err, io.EOF) {
-			return rows
+			return rows, true
 		}
 		if err != nil {
 			r.syntax(err)
--- a/core/bvregister/diff.go
+++ b/core/bvregister/diff.go
@@ -90,7 +90,8 @@
 }
 
 // Diff reports what going from the old to the new configuration of a group
-// does. Shares are estimated on made-up flows from a fixed seed, so that the
+// does. A group that is new or gone has the zero configuration on one side.
+// Shares are estimated on made-up flows from a fixed seed, so that the
 // same input gives the same report.
 func Diff(old, next bvconfig.Config, o DiffOptions) Report {
 	if o.NewPicker == nil {
@@ -102,7 +103,7 @@
 	d := &differ{old: newSide(old, o), next: newSide(next, o), samples: o.Samples, losses: map[lossKey]*Loss{}}
 	d.report = Report{
 		Group: cmp.Or(next.Group, old.Group), OldRevision: old.Version.Revision, NewRevision: next.Version.Revision,
-		HashSeedChanged: old.HashSeed != next.HashSeed,
+		HashSeedChanged: old.HashSeed != next.HashSeed && len(old.Services) > 0 && len(next.Services) > 0,
 	}
 	d.upstreams()
 	d.services()
--- a/core/bvregister/diff_test.go
+++ b/core/bvregister/diff_test.go
@@ -60,6 +60,15 @@
 		r := bvregister.Diff(old, serena(t, "", "7001", "7002"), bvregister.DiffOptions{})
 		require.Equal(t, []bvregister.Loss{{Service: "bench", Reason: "address 192.0.2.10:7001/tcp removed", Share: 0.5}}, r.GivenUp)
 	})
+	t.Run("group added and removed", func(t *testing.T) {
+		r := bvregister.Diff(bvconfig.Config{}, old, bvregister.DiffOptions{})
+		require.False(t, r.HashSeedChanged)
+		require.Equal(t, []string{"bench", "certificates"}, r.Added)
+		require.Len(t, r.Cold, 18)
+		r = bvregister.Diff(old, bvconfig.Config{}, bvregister.DiffOptions{})
+		require.Equal(t, []string{"bench", "certificates"}, r.Removed)
+		require.Len(t, r.NoNewFlows, 18)
+	})
 	t.Run("hash seed", func(t *testing.T) {
 		next := old
 		next.HashSeed++
--- a/core/bvregister/import_test.go
+++ b/core/bvregister/import_test.go
@@ -141,12 +141,13 @@
 	return false
 }
 
-// Guards against mistakes that only show when the rest of the input is right.
+// Guards against mistakes that only show when the rest of the input is right,
+// and against one mistake that is reported again on each row.
 func TestImportSingleMistakes(t *testing.T) {
 	for _, tt := range []struct{ name, register, rules, place, problem string }{
 		{"missing column", strings.Replace(base, "zone,", "az,", 1), baseRules, "r.csv:1:1", `column "zone" is missing`},
 		{"repeated column", strings.Replace(base, "region,", "zone,", 1), baseRules, "r.csv:1:17", `column "zone" stands twice`},
-		{"mapped column", base, baseRules + "columns: {vm: host}", "r.yaml:2:15", `column "host" is not in the register`},
+		{"mapped column", base, baseRules + "columns: {vm: host}\nservices: {web: {}}", "r.yaml:2:15", `column "host" is not in the register`},
 		{"unknown column", base, baseRules + "columns: {host: vm}", "r.yaml:2:11", `unknown column "host"`},
 		{"empty register", "", baseRules, "r.csv:1:1", "the register is empty"},
 		{"no group", base, "", "r.csv:2:", "no group is given"},
@@ -159,12 +160,14 @@
 		{"no VNI", strings.Replace(base, "80,,1", "80,,", 1), baseRules, "r.csv:2:2", "no VNI"},
 		{"large VNI", strings.Replace(base, "80,,1", "80,,16777216", 1), baseRules, "r.csv:2:30", "not a valid vni"},
 		{"long idle timeout", base, baseRules + "services: {web: {idleTimeout: 4h}}", "r.yaml:2:31", "too long"},
-		{"control address", base, baseRules + "columns: {controlAddress: region}", "r.csv:3:", "not an address with a port"},
+		{"control address", strings.Replace(base, "10.0.0.2,6082,", "10.0.0.2,6082,x", 1), baseRules + "columns: {controlAddress: healthAddress}", "r.csv:4:32", "not an address with a port"},
+		{"group in the register", strings.Replace(base, "80,,1,", "80,,1,../g", 1), baseRules, "r.csv:2:32", "not a valid name"},
 		{"protocol in two forms", base, baseRules + "services: {web: {protocol: icmp}}", "r.yaml:2:28", "not valid here"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			_, l := bvregister.Import(bvregister.Source{Name: "r.csv", Content: []byte(tt.register)},
 				bvregister.Source{Name: "r.yaml", Content: []byte(tt.rules)}, nil)
+			require.Equal(t, 1, l.Len(), "%v", l.Err())
 			for _, f := range l.Sorted() {
 				if strings.HasPrefix(f.Place.String(), tt.place) && strings.Contains(f.Problem, tt.problem) {
 					return
--- a/core/bvregister/rules.go
+++ b/core/bvregister/rules.go
@@ -89,15 +89,16 @@
 // gives it only as text.
 var yamlLine = regexp.MustCompile(`line (\d+)`)
 
-// readRules decodes the rules. Empty rules are valid.
-func readRules(s Source, l *bvfinding.List) rules {
-	out := rules{file: s.Name, separator: ',', hashSeed: 1, defaults: defaultServiceRules}
+// readRules decodes the rules. Empty rules are valid; ok is false for rules that
+// are not YAML, which say nothing about the register's columns either.
+func readRules(s Source, l *bvfinding.List) (out rules, ok bool) {
+	out = rules{file: s.Name, separator: ',', hashSeed: 1, defaults: defaultServiceRules}
 	r := &ruleReader{file: s.Name, list: l}
 	d := yaml.NewDecoder(bytes.NewReader(s.Content))
 	var document yaml.Node
 	err := d.Decode(&document)
 	if errors.Is(err, io.EOF) {
-		return out
+		return out, true
 	}
 	if err != nil {
 		p := bvfinding.Place{File: s.Name}
@@ -105,7 +106,7 @@
 			p.Line, _ = strconv.Atoi(m[1])
 		}
 		l.Add(p, "not valid YAML: "+strings.TrimPrefix(err.Error(), "yaml: "), "correct the indentation and the quotes of this line")
-		return out
+		return out, false
 	}
 	var second yaml.Node
 	if !errors.Is(d.Decode(&second), io.EOF) {
@@ -114,7 +115,7 @@
 	if len(document.Content) == 1 {
 		r.top(document.Content[0], &out)
 	}
-	return out
+	return out, true
 }
 
 // top decodes the top-level mapping. Defaults are read before services, which
