--- a/cmd/balsamvane/commands_test.go
+++ b/cmd/balsamvane/commands_test.go
@@ -16,7 +16,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-func run(t *testing.T, args ...string) (string, int) {
+func execute(t *testing.T, args ...string) (string, int) {
 	t.Helper()
 	root := &cobra.Command{Use: "balsamvane", SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(newImportCommand(), newDiffCommand(), newDumpCommand(), newStatusCommand(),
@@ -57,21 +57,21 @@
 	before, after := t.TempDir(), t.TempDir()
 	register := examples + "tuul/register.csv"
 	for _, d := range []string{before, after} {
-		out, status := run(t, "import", "--register", register, "--rules", examples+"tuul/rules.yaml", "-o", d)
+		out, status := execute(t, "import", "--register", register, "--rules", examples+"tuul/rules.yaml", "-o", d)
 		require.Equal(t, exitClean, status, out)
 	}
-	out, status := run(t, "diff", before, after)
+	out, status := execute(t, "diff", before, after)
 	require.Equal(t, exitClean, status)
 	require.Equal(t, "no difference\n", out)
 
 	rules := rulesWith(t, "tuul", "zonesOutOfService: [ub-b]\n")
-	out, status = run(t, "import", "--register", register, "--rules", rules, "-o", after)
+	out, status = execute(t, "import", "--register", register, "--rules", rules, "-o", after)
 	require.Equal(t, exitClean, status, out)
 	require.Regexp(t, `tuul +2 +yes`, out)
-	out, _ = run(t, "diff", before, after)
+	out, _ = execute(t, "diff", before, after)
 	require.Contains(t, out, "revision 1 -> 2")
 	require.Contains(t, out, "booking in ub-b")
-	_, status = run(t, "check", "--published", after)
+	_, status = execute(t, "check", "--published", after)
 	require.Equal(t, exitClean, status)
 
 	parts, err := filepath.Glob(filepath.Join(after, "groups/tuul/parts/*"))
@@ -97,12 +97,12 @@
 		{"no manifest", "holds no manifest", exitFindings, []string{"--published", t.TempDir()}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			out, status := run(t, append([]string{"check"}, tt.args...)...)
+			out, status := execute(t, append([]string{"check"}, tt.args...)...)
 			require.Contains(t, out, tt.want)
 			require.Equal(t, tt.status, status)
 		})
 	}
-	out, _ := run(t, "check", "--register", register, "--rules", rules, "--output", "json")
+	out, _ := execute(t, "check", "--register", register, "--rules", rules, "--output", "json")
 	var got struct{ Findings []bvfinding.Finding }
 	require.NoError(t, json.Unmarshal([]byte(out), &got))
 	require.Equal(t, bvfinding.Place{File: rules, Line: 1, Column: 21}, got.Findings[0].Place)
@@ -129,12 +129,12 @@
 	c := balancer(t, `{"node":"c","group":"g","revision":3,"hash":"y"}`)
 	d := balancer(t, `not JSON`)
 
-	out, status := run(t, "status", "--addr", a)
+	out, status := execute(t, "status", "--addr", a)
 	require.Equal(t, exitClean, status, out)
 	require.Contains(t, out, "all agree")
 	require.Regexp(t, `a +g +.*3 +0 +1m0s +2\.5s`, out)
 
-	out, status = run(t, "status", "--addr", strings.Join([]string{a, b, c, d}, ","))
+	out, status = execute(t, "status", "--addr", strings.Join([]string{a, b, c, d}, ","))
 	require.Equal(t, exitFindings, status)
 	for _, want := range []string{
 		"b has revision 2, others have 3", "b has had no fresh platform contact for 2m0s",
@@ -147,12 +147,12 @@
 // Guards against a dump that asks for something else than the flags say.
 func TestDump(t *testing.T) {
 	a := balancer(t, "")
-	out, status := run(t, "dump", "--addr", a, "--service", "web")
+	out, status := execute(t, "dump", "--addr", a, "--service", "web")
 	require.Equal(t, exitClean, status)
 	require.Equal(t, "revision: 3\nasked: service=web\nzones:\n  - name: a\n", out)
-	out, _ = run(t, "dump", "--addr", a, "--vm", "u1", "--output", "json")
+	out, _ = execute(t, "dump", "--addr", a, "--vm", "u1", "--output", "json")
 	require.JSONEq(t, `{"revision":3,"asked":"vm=u1","zones":[{"name":"a"}]}`, out)
-	out, status = run(t, "dump", "--addr", "localhost:80")
+	out, status = execute(t, "dump", "--addr", "localhost:80")
 	require.Equal(t, exitFailed, status)
 	require.Contains(t, out, "write ip:port")
 }
@@ -160,11 +160,11 @@
 // Guards against a command that loses its help or its completion.
 func TestHelpAndCompletion(t *testing.T) {
 	for _, c := range []string{"import", "diff", "check", "dump", "status"} {
-		out, status := run(t, c, "--help")
+		out, status := execute(t, c, "--help")
 		require.Equal(t, exitClean, status)
 		require.Contains(t, out, "Examples:\n  ")
 	}
-	out, status := run(t, "completion", "bash")
+	out, status := execute(t, "completion", "bash")
 	require.Equal(t, exitClean, status)
 	require.Contains(t, out, "balsamvane")
 }
--- a/core/bvregister/build.go
+++ b/core/bvregister/build.go
@@ -43,6 +43,8 @@
 	group string
 	place bvfinding.Place
 	rules serviceRules
+	// className is the class that a row of the register gives.
+	className string
 	// badVNI tells that a row has a VNI that has been reported already.
 	badVNI bool
 	// upstreams counts the VMs; taking counts those that get new flows.
@@ -138,6 +140,7 @@
 		return
 	}
 	b.protocol(w, s, known)
+	b.class(w, s)
 	b.vni(w, s)
 	a, ok := b.endpoint(w, 0)
 	if !ok {
@@ -188,6 +191,23 @@
 	s.Protocol = p
 }
 
+// class reads the class column. The rules of the service come first.
+func (b *builder) class(w *row, s *service) {
+	text := w.text(colClass)
+	if text == "" || s.rules.classGiven {
+		return
+	}
+	c, ok := classes[text]
+	switch {
+	case !ok:
+		b.add(w, colClass, "unknown class "+quote(text), "write feed, interactive or bulk")
+	case s.className != "" && s.className != text:
+		b.add(w, colClass, "service "+quote(s.Name)+" has class "+s.className+" elsewhere", "write one class for each service")
+	default:
+		s.Class, s.className = c, text
+	}
+}
+
 // vni reads the VNI of a service from any of its rows. Two services never
 // share one, because a VM tells its own packets from others' by the VNI.
 func (b *builder) vni(w *row, s *service) {
--- a/core/bvregister/csv.go
+++ b/core/bvregister/csv.go
@@ -17,7 +17,7 @@
 	requiredColumns = []string{"vm", "service", "zone", "address"}
 	optionalColumns = []string{
 		"region", "role", "port", "healthAddress", "controlAddress", "vni",
-		"group", "protocol", "weight", "slots", "connections",
+		"group", "protocol", "class", "weight", "slots", "connections",
 	}
 )
 
@@ -35,6 +35,7 @@
 	colVNI
 	colGroup
 	colProtocol
+	colClass
 	colWeight
 	colSlots
 	colConnections
--- a/core/bvregister/import_test.go
+++ b/core/bvregister/import_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvfinding"
 	"balsamvane/core/bvregister"
 
@@ -161,6 +162,7 @@
 		{"large VNI", strings.Replace(base, "80,,1", "80,,16777216", 1), baseRules, "r.csv:2:30", "not a valid vni"},
 		{"long idle timeout", base, baseRules + "services: {web: {idleTimeout: 4h}}", "r.yaml:2:31", "too long"},
 		{"control address", strings.Replace(base, "10.0.0.2,6082,", "10.0.0.2,6082,x", 1), baseRules + "columns: {controlAddress: healthAddress}", "r.csv:4:32", "not an address with a port"},
+		{"unknown class", strings.Replace(base, ",web,,,", ",web,,gold,", 1), baseRules + "columns: {class: region}", "r.csv:2:7", `unknown class "gold"`},
 		{"group in the register", strings.Replace(base, "80,,1,", "80,,1,../g", 1), baseRules, "r.csv:2:32", "not a valid name"},
 		{"protocol in two forms", base, baseRules + "services: {web: {protocol: icmp}}", "r.yaml:2:28", "not valid here"},
 	} {
@@ -178,6 +180,22 @@
 	}
 }
 
+// Guards against a class of the register that a default or an empty row hides,
+// or that a rule cannot replace.
+func TestImportClass(t *testing.T) {
+	register := bvregister.Source{Content: []byte(strings.Replace(base, ",web,,,", ",web,,bulk,", 1))}
+	mapped := baseRules + "columns: {class: region}\n"
+	for rules, want := range map[string]bvconfig.Class{
+		"":                                bvconfig.ClassBulk,
+		"defaults: {class: feed}":         bvconfig.ClassBulk,
+		"services: {web: {class: feed}}":  bvconfig.ClassFeed,
+		"services: {web: {warmUp: 100s}}": bvconfig.ClassBulk,
+	} {
+		b := mustImport(t, register, bvregister.Source{Content: []byte(mapped + rules)}, nil)
+		require.Equal(t, want, b.Groups[0].Config.Services[0].Class, rules)
+	}
+}
+
 // Guards against a revision that goes back, or that grows without a change
 // and so makes every node load the same content again.
 func TestImportRevisionOnlyGrows(t *testing.T) {
--- a/core/bvregister/rules.go
+++ b/core/bvregister/rules.go
@@ -45,6 +45,7 @@
 type serviceRules struct {
 	place       bvfinding.Place
 	class       bvconfig.Class
+	classGiven  bool // The rules of this service name a class.
 	protocol    string
 	vni         uint32
 	idempotent  bool
@@ -133,6 +134,7 @@
 		"defaults":          func(v *yaml.Node) { out.defaults = r.service(v, out.defaults) },
 		"services":          func(v *yaml.Node) { services = v },
 	})
+	out.defaults.classGiven = false // The register's class is stronger than a default.
 	out.services = map[string]serviceRules{}
 	if services != nil {
 		r.each(services, "services", func(k, v *yaml.Node) {
@@ -147,7 +149,7 @@
 func (r *ruleReader) service(n *yaml.Node, base serviceRules) serviceRules {
 	s := base
 	r.mapping(n, "a service", map[string]func(*yaml.Node){
-		"class":       func(v *yaml.Node) { s.class = r.class(v) },
+		"class":       func(v *yaml.Node) { s.class, s.classGiven = r.class(v), true },
 		"protocol":    func(v *yaml.Node) { s.protocol = r.choice(v, "tcp", "udp") },
 		"vni":         func(v *yaml.Node) { s.vni = uint32(r.number(v, 1, bvconfig.MaxVNI)) },
 		"idempotent":  func(v *yaml.Node) { s.idempotent = r.choice(v, "true", "false") == "true" },
@@ -282,15 +284,13 @@
 	return choices[0]
 }
 
+// classes are the names of the classes.
+var classes = map[string]bvconfig.Class{
+	"feed": bvconfig.ClassFeed, "interactive": bvconfig.ClassInteractive, "bulk": bvconfig.ClassBulk,
+}
+
 func (r *ruleReader) class(n *yaml.Node) bvconfig.Class {
-	switch r.choice(n, "interactive", "feed", "bulk") {
-	case "feed":
-		return bvconfig.ClassFeed
-	case "bulk":
-		return bvconfig.ClassBulk
-	default:
-		return bvconfig.ClassInteractive
-	}
+	return classes[r.choice(n, "interactive", "feed", "bulk")]
 }
 
 func (r *ruleReader) number(n *yaml.Node, low, high uint64) uint64 {
