Connect the daemon, the command line and the demo with the node

Cause: the daemon was written against the interface of the node; the demo guessed the key size and the status text. Change: answers carry the token of the question, base configurations are fetched from peers, dump and status come from the node, seed peers can be set, and the demo writes a 16-byte key. Ruled out: an opaque dump function, which could not select by flow or VM.

--- a/cmd/balsamvane/config.go
+++ b/cmd/balsamvane/config.go
@@ -5,10 +5,11 @@
 	"balsamvane/core/bvfinding"
 )
 
-// decodeConfig decodes and validates a published configuration. It rejects
-// every configuration until bvconfig.Decode takes its place.
-func decodeConfig(_ []byte, _ map[string][]byte) (bvconfig.Config, bvfinding.List) {
-	var l bvfinding.List
-	l.Add(bvfinding.Place{File: "manifest"}, "this build cannot decode configurations", "")
-	return bvconfig.Config{}, l
+// decodeConfig decodes and validates a published configuration.
+func decodeConfig(manifest []byte, parts map[string][]byte) (bvconfig.Config, bvfinding.List) {
+	c, findings := bvconfig.Decode(manifest, parts)
+	if findings.Empty() {
+		findings = bvconfig.Validate(c)
+	}
+	return c, findings
 }
--- a/cmd/balsamvane/main.go
+++ b/cmd/balsamvane/main.go
@@ -5,6 +5,9 @@
 //
 //	balsamvane run --settings settings.yaml
 //	balsamvane run --print-settings
+//	balsamvane import --register register.csv --rules rules.yaml -o published
+//	balsamvane check --settings settings.yaml --published published
+//	balsamvane status --addr 10.20.0.1:7074,10.20.0.2:7074
 //	balsamvane version
 package main
 
@@ -12,14 +15,18 @@
 	"fmt"
 	"os"
 
+	"balsamvane/core/bvfinding"
+	"balsamvane/io/bvsettings"
+
 	"github.com/spf13/cobra"
 )
 
 func main() {
-	if err := newRoot().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	err := newRoot().Execute()
+	if exitStatus(err) == exitFailed {
+		fmt.Fprintln(os.Stderr, "balsamvane: "+err.Error())
 	}
+	os.Exit(exitStatus(err))
 }
 
 // newRoot returns the command line with all subcommands.
@@ -30,6 +37,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newRun(), newVersion())
+	c.AddCommand(newRun(), newVersion(), newImportCommand(), newDiffCommand(), newDumpCommand(), newStatusCommand(),
+		newCheckCommand(func(path string) bvfinding.List {
+			_, findings := bvsettings.Load(path)
+			return findings
+		}))
 	return c
 }
--- a/cmd/balsamvane/run.go
+++ b/cmd/balsamvane/run.go
@@ -58,6 +58,8 @@
 		Zone:                  s.Zone,
 		Group:                 s.Group,
 		Incarnation:           incarnation,
+		Started:               clock.Now(),
+		Seeds:                 s.Seeds,
 		MaxFlows:              s.Limits.Flows,
 		ControlBytesPerSecond: s.Limits.ControlBytesPerSecond,
 		IdleTimeout:           s.Timeouts.Idle,
--- a/cmd/balsamvane/status.go
+++ b/cmd/balsamvane/status.go
@@ -30,7 +30,7 @@
 	// PictureAge is the time since the configuration came into force,
 	// PlatformAge the time since fresh contact with the platform.
 	PictureAge  *age     `json:"pictureAge,omitempty"`
-	PlatformAge age      `json:"platformAge"`
+	PlatformAge *age     `json:"platformAge,omitempty"`
 	Flows       *int     `json:"flows,omitempty"`
 	Dead        []string `json:"dead,omitempty"`
 }
@@ -145,7 +145,9 @@
 		} else if s.Hash != "" {
 			hashes[s.Hash] = append(hashes[s.Hash], s.Node)
 		}
-		if time.Duration(s.PlatformAge) > stalePlatform {
+		if s.PlatformAge == nil {
+			out = append(out, fmt.Sprintf("%s%s has had no platform contact yet", prefix, s.Node))
+		} else if time.Duration(*s.PlatformAge) > stalePlatform {
 			out = append(out, fmt.Sprintf("%s%s has had no fresh platform contact for %s", prefix, s.Node, s.PlatformAge))
 		}
 		for _, d := range s.Dead {
@@ -173,7 +175,7 @@
 			continue
 		}
 		t.row(p.Address, s.Node, orDash(s.Group), orDash(s.Zone), s.State, s.Revision, s.BaseRevision,
-			optional(s.PictureAge), s.PlatformAge, optional(s.Flows), orDash(strings.Join(s.Dead, " ")))
+			optional(s.PictureAge), optional(s.PlatformAge), optional(s.Flows), orDash(strings.Join(s.Dead, " ")))
 	}
 	if err := t.print(w); err != nil {
 		return err
--- a/core/bvnode/dump.go
+++ b/core/bvnode/dump.go
@@ -26,7 +26,7 @@
 	Flows        int                 `json:"flows"`
 	MaxFlows     int                 `json:"maxFlows"`
 	Unpushed     int                 `json:"unpushedRecords"`
-	PlatformAge  string              `json:"platformAge"`
+	PlatformAge  string              `json:"platformAge,omitempty"`
 	Peers        []PeerDump          `json:"peers"`
 	Upstreams    []UpstreamDump      `json:"upstreams"`
 	Findings     []bvfinding.Finding `json:"findings,omitempty"`
@@ -85,10 +85,11 @@
 	return d
 }
 
-// platformAge returns the time since the last platform contact, or "never".
+// platformAge returns the time since the last platform contact, or nothing if
+// there was none.
 func platformAge(d time.Duration) string {
 	if d >= bvmember.NoContact {
-		return "never"
+		return ""
 	}
 	return d.Round(time.Millisecond).String()
 }
@@ -113,17 +114,22 @@
 	return n.router.Explain(now, t)
 }
 
-// Status is the part of the state that [Dump] and the heartbeats share, for a
-// quick comparison of several nodes.
+// Status is a summary of the state, for a quick comparison of several nodes.
 type Status struct {
 	Node         string `json:"node"`
+	Zone         string `json:"zone"`
+	Group        string `json:"group"`
 	State        string `json:"state"`
 	Revision     uint64 `json:"revision"`
 	Hash         string `json:"hash"`
 	BaseRevision uint64 `json:"baseRevision"`
-	PlatformAge  string `json:"platformAge"`
-	PeersAlive   int    `json:"peersAlive"`
-	Flows        int    `json:"flows"`
+	// PictureAge is the time since the configuration came into force here,
+	// PlatformAge that since the last contact with the platform. They are
+	// absent before the first time.
+	PictureAge  string   `json:"pictureAge,omitempty"`
+	PlatformAge string   `json:"platformAge,omitempty"`
+	Flows       int      `json:"flows"`
+	Dead        []string `json:"dead,omitempty"`
 }
 
 // Status returns a summary of the node's state.
@@ -131,13 +137,17 @@
 	v := n.store.Version()
 	h := n.members.Self(now)
 	s := Status{
-		Node: n.options.Node, State: n.members.State().String(), Revision: v.Revision,
+		Node: n.options.Node, Zone: n.options.Zone, Group: n.options.Group,
+		State: n.members.State().String(), Revision: v.Revision,
 		Hash: hex.EncodeToString(v.Hash[:4]), BaseRevision: h.BaseRevision,
 		PlatformAge: platformAge(h.PlatformAge), Flows: n.table.Len(),
 	}
+	if g, ok := n.store.At(v.Revision); ok {
+		s.PictureAge = now.Sub(g.Since).Round(time.Millisecond).String()
+	}
 	for _, p := range n.members.Peers() {
-		if p.Alive {
-			s.PeersAlive++
+		if !p.Alive && p.Incarnation > 0 {
+			s.Dead = append(s.Dead, p.Name)
 		}
 	}
 	return s
--- a/io/bvadmin/bvadmin.go
+++ b/io/bvadmin/bvadmin.go
@@ -54,23 +54,13 @@
 // Close reports what has not been reported yet and stops the reporter.
 func (m *Metrics) Close() error { return m.closer.Close() }
 
-// Status is the short state of a balancer.
-type Status struct {
-	Node         string `json:"node"`
-	Revision     uint64 `json:"revision"`
-	BaseRevision uint64 `json:"baseRevision"`
-	State        string `json:"state"`
-	// PlatformAge is the time since the last contact with the platform, as a
-	// Go duration string.
-	PlatformAge string `json:"platformAge"`
-}
-
 // Sources give the answers. All are called from several goroutines.
 type Sources struct {
 	// Dump returns the state as a value to encode as JSON. The query selects
 	// parts: service, flow, vm.
-	Dump   func(query url.Values) (any, error)
-	Status func() Status
+	Dump func(query url.Values) (any, error)
+	// Status returns the short state as a value to encode as JSON.
+	Status func() any
 	Ready  func() bool
 }
 
--- a/io/bvdaemon/actions.go
+++ b/io/bvdaemon/actions.go
@@ -34,10 +34,12 @@
 		d.sendHeartbeat(a)
 	case bvnode.FetchConfig:
 		d.fetchConfig(a)
+	case bvnode.FetchBase:
+		d.fetchBase(a)
 	case bvnode.WatchPlatform:
 		d.watchPlatform(a.Enabled)
 	case bvnode.ReadPlatform:
-		d.readPlatform(a.Delay)
+		d.readPlatform(a.Token)
 	case bvnode.RequestSync:
 		d.requestSync(a)
 	case bvnode.PushRecords:
@@ -89,18 +91,30 @@
 }
 
 func (d *Daemon) fetchConfig(a bvnode.FetchConfig) {
-	if !d.refetch.CompareAndSwap(false, true) {
-		return // One fetch at a time; the node asks again.
-	}
 	d.call(func(ctx context.Context) {
-		defer d.refetch.Store(false)
 		b, err := d.client.Fetch(ctx, a.Control)
 		if err != nil {
 			d.log.Warn("configuration cannot be fetched from peer", zap.Stringer("peer", a.Control), zap.Error(err))
 			return
 		}
-		d.offer(b, false)
-	}, func() { d.refetch.Store(false) })
+		d.offer(b, source{token: a.Token})
+	}, nil)
+}
+
+func (d *Daemon) fetchBase(a bvnode.FetchBase) {
+	d.call(func(ctx context.Context) {
+		b, age, err := d.client.FetchBase(ctx, a.Control, a.Revision)
+		if err != nil {
+			d.log.Warn("base configuration cannot be fetched from peer", zap.Stringer("peer", a.Control), zap.Error(err))
+			return
+		}
+		c, findings := d.options.Decode(b.Manifest, b.Parts)
+		if err := findings.Err(); err != nil {
+			d.log.Warn("base configuration of peer is not valid", zap.Stringer("peer", a.Control), zap.Error(err))
+			return
+		}
+		d.handle(bvnode.BaseReceived{Config: c, Age: age})
+	}, nil)
 }
 
 // watchPlatform starts or stops the watch.
@@ -127,23 +141,19 @@
 	case u.Bundle.Manifest == nil:
 		d.handle(bvnode.PlatformContacted{})
 	default:
-		d.offer(u.Bundle, true)
+		d.offer(u.Bundle, source{platform: true})
 	}
 }
 
-// readPlatform reads once after a delay. Waiting does not count as a call in
-// progress.
-func (d *Daemon) readPlatform(delay time.Duration) {
+// readPlatform reads once.
+func (d *Daemon) readPlatform(token uint64) {
 	d.spawn(func(ctx context.Context) error {
-		if delay > 0 && !d.sleep(ctx, delay) {
-			return nil
-		}
 		b, err := d.platform.Read(ctx)
 		if err != nil {
 			d.log.Warn("platform cannot be read", zap.Error(err))
 			return nil
 		}
-		d.offer(b, true)
+		d.offer(b, source{platform: true, token: token})
 		return nil
 	})
 }
@@ -157,19 +167,25 @@
 	}
 }
 
+// source tells where a configuration comes from.
+type source struct {
+	platform bool
+	token    uint64 // Of the action that asked for it; 0 for a watch.
+}
+
 // offer decodes a configuration and gives it to the node. A configuration with
 // findings leaves the accepted one in force.
-func (d *Daemon) offer(b bvplatform.Bundle, fromPlatform bool) {
+func (d *Daemon) offer(b bvplatform.Bundle, from source) {
 	c, findings := d.options.Decode(b.Manifest, b.Parts)
 	if err := findings.Err(); err != nil {
 		d.counters.configRejected.Inc(1)
-		d.log.Error("configuration is not valid", zap.Bool("fromPlatform", fromPlatform), zap.Error(err))
-		if fromPlatform {
-			d.handle(bvnode.PlatformContacted{})
+		d.log.Error("configuration is not valid", zap.Bool("fromPlatform", from.platform), zap.Error(err))
+		if from.platform {
+			d.handle(bvnode.PlatformContacted{Token: from.token})
 		}
 		return
 	}
-	d.handle(bvnode.ConfigOffered{Config: c, FromPlatform: fromPlatform})
+	d.handle(bvnode.ConfigOffered{Config: c, FromPlatform: from.platform, Token: from.token})
 	d.mu.Lock()
 	now, ok := d.node.Config()
 	d.mu.Unlock()
@@ -179,9 +195,7 @@
 	}
 	d.bundle.Store(&accepted{version: c.Version, bundle: b})
 	d.client.Known(b)
-	at := d.clock.Now()
-	d.since.Store(&at)
-	d.log.Info("configuration accepted", zap.Uint64("revision", c.Version.Revision), zap.Bool("fromPlatform", fromPlatform))
+	d.log.Info("configuration accepted", zap.Uint64("revision", c.Version.Revision), zap.Bool("fromPlatform", from.platform))
 }
 
 func (d *Daemon) requestSync(a bvnode.RequestSync) {
@@ -260,3 +274,19 @@
 	}
 	return a.bundle, true
 }
+
+// Base implements bvpeer.Handler.
+func (h peerHandler) Base(revision uint64) (bvplatform.Bundle, time.Duration, bool) {
+	h.daemon.mu.Lock()
+	c, age, ok := h.daemon.node.Generation(h.daemon.clock.Now(), revision)
+	h.daemon.mu.Unlock()
+	if !ok {
+		return bvplatform.Bundle{}, 0, false
+	}
+	m, parts, err := bvconfig.Encode(c, 0)
+	if err != nil {
+		h.daemon.log.Warn("base configuration cannot be encoded", zap.Error(err))
+		return bvplatform.Bundle{}, 0, false
+	}
+	return bvplatform.Bundle{Manifest: m, Parts: parts}, age, true
+}
--- a/io/bvdaemon/admin.go
+++ b/io/bvdaemon/admin.go
@@ -1,54 +1,77 @@
 package bvdaemon
 
 import (
+	"net/netip"
 	"net/url"
-	"time"
+	"slices"
+	"strings"
 
+	"balsamvane/core/bvflow"
 	"balsamvane/core/bvmember"
+	"balsamvane/core/bvnode"
 	"balsamvane/io/bvadmin"
-)
-
-// states are the names of a node's states in the status.
-var states = map[bvmember.State]string{
-	bvmember.StateJoining: "joining",
-	bvmember.StateActive:  "active",
-	bvmember.StateLeaving: "leaving",
-}
 
-// dump is the answer of the dump endpoint.
-type dump struct {
-	Status bvadmin.Status `json:"status"`
-	// ConfigSince is when the configuration came into force on this node.
-	ConfigSince *time.Time `json:"configSince,omitempty"`
-	Node        any        `json:"node,omitempty"`
-}
+	"github.com/rotisserie/eris"
+)
 
 func (d *Daemon) sources() bvadmin.Sources {
 	return bvadmin.Sources{Dump: d.dump, Status: d.status, Ready: d.ready}
 }
 
-// status returns what the node announced last to its peers.
-func (d *Daemon) status() bvadmin.Status {
-	h := d.heartbeat()
-	return bvadmin.Status{
-		Node:         d.settings.Node,
-		Revision:     h.Version.Revision,
-		BaseRevision: h.BaseRevision,
-		State:        states[h.State],
-		PlatformAge:  h.PlatformAge.Round(time.Millisecond).String(),
-	}
+func (d *Daemon) status() any {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Status(d.clock.Now())
 }
 
 func (d *Daemon) ready() bool { return d.heartbeat().State == bvmember.StateActive }
 
+// dump answers the dump endpoint: the node's whole state, or what it has of
+// one service or VM, or why one flow goes where it goes.
 func (d *Daemon) dump(q url.Values) (any, error) {
-	out := dump{Status: d.status(), ConfigSince: d.since.Load()}
-	if d.options.Dump == nil {
-		return out, nil
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.clock.Now()
+	if f := q.Get("flow"); f != "" {
+		t, err := parseFlow(f)
+		if err != nil {
+			return nil, err
+		}
+		return d.node.Explain(now, t), nil
+	}
+	out := d.node.Dump(now)
+	service, vm := q.Get("service"), q.Get("vm")
+	out.Upstreams = slices.DeleteFunc(out.Upstreams, func(u bvnode.UpstreamDump) bool {
+		return service != "" && u.Service != service || vm != "" && u.VM != vm
+	})
+	if vm != "" {
+		out.Peers = slices.DeleteFunc(out.Peers, func(p bvnode.PeerDump) bool { return p.Node != vm })
+	}
+	return out, nil
+}
+
+// parseFlow reads a flow in the form protocol,source,destination, such as
+// tcp,203.0.113.7:51234,192.0.2.10:7000.
+func parseFlow(s string) (bvflow.Tuple, error) {
+	var t bvflow.Tuple
+	f := strings.Split(s, ",")
+	if len(f) != 3 {
+		return t, eris.Errorf("flow %q is not in the form protocol,source,destination", s)
+	}
+	switch f[0] {
+	case "tcp":
+		t.Protocol = bvflow.ProtocolTCP
+	case "udp":
+		t.Protocol = bvflow.ProtocolUDP
+	default:
+		return t, eris.Errorf("protocol %q is neither tcp nor udp", f[0])
+	}
 	var err error
-	out.Node, err = d.options.Dump(d.clock.Now(), q)
-	return out, err
+	if t.Source, err = netip.ParseAddrPort(f[1]); err != nil {
+		return t, eris.Errorf("source %q is not ip:port", f[1])
+	}
+	if t.Destination, err = netip.ParseAddrPort(f[2]); err != nil {
+		return t, eris.Errorf("destination %q is not ip:port", f[2])
+	}
+	return t, nil
 }
--- a/io/bvdaemon/bvdaemon.go
+++ b/io/bvdaemon/bvdaemon.go
@@ -21,7 +21,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,6 +69,10 @@
 	Handle(now time.Time, e bvnode.Event) []bvnode.Action
 	SyncRequest(now time.Time, from bvconfig.NodeID, cursor uint64, limit int) bvnode.SyncReceived
 	Config() (c bvconfig.Config, ok bool)
+	Generation(now time.Time, revision uint64) (c bvconfig.Config, age time.Duration, ok bool)
+	Status(now time.Time) bvnode.Status
+	Dump(now time.Time) bvnode.Dump
+	Explain(now time.Time, t bvflow.Tuple) bvroute.Explanation
 }
 
 // Options are what a daemon needs besides its settings.
@@ -79,9 +82,6 @@
 	Incarnation uint64
 	// Decode decodes and validates a published configuration.
 	Decode func(manifest []byte, parts map[string][]byte) (bvconfig.Config, bvfinding.List)
-	// Dump returns the node's state for the admin endpoint. It is called
-	// with the node locked. It may be nil.
-	Dump func(now time.Time, query url.Values) (any, error)
 }
 
 // Daemon is one balancer process.
@@ -110,7 +110,6 @@
 	platform *bvplatform.Client
 	client   *bvpeer.Client
 	prober   *bvprobe.Prober
-	refetch  atomic.Bool // A fetch from a peer is in progress.
 
 	tasks   tasks
 	calls   chan struct{}
@@ -120,7 +119,6 @@
 	once    sync.Once
 
 	last   atomic.Pointer[bvmember.Heartbeat]
-	since  atomic.Pointer[time.Time] // When the accepted configuration came into force.
 	bundle atomic.Pointer[accepted]
 }
 
--- a/io/bvpeer/bvpeer.go
+++ b/io/bvpeer/bvpeer.go
@@ -32,6 +32,7 @@
 	procedureSync  = "/balsamvane.peer.v1.Peer/Sync"
 	procedurePush  = "/balsamvane.peer.v1.Peer/Push"
 	procedureFetch = "/balsamvane.peer.v1.Peer/FetchConfig"
+	procedureBase  = "/balsamvane.peer.v1.Peer/FetchBase"
 )
 
 const (
@@ -53,6 +54,9 @@
 	Push(from bvconfig.NodeID, records []bvnode.FlowRecord)
 	// Bundle returns the accepted configuration; ok is false if there is none.
 	Bundle() (b bvplatform.Bundle, ok bool)
+	// Base returns an earlier configuration that is retained for base picks,
+	// and how long ago it came into force.
+	Base(revision uint64) (b bvplatform.Bundle, age time.Duration, ok bool)
 }
 
 // codec encodes messages as CBOR.
@@ -146,13 +150,19 @@
 }
 
 func decodeWarm(l []warmState) []bvnode.WarmState {
-	const maxAge = uint64(1<<63-1) / uint64(time.Millisecond)
 	out := make([]bvnode.WarmState, 0, len(l))
 	for _, s := range l {
 		out = append(out, bvnode.WarmState{
 			Upstream: bvconfig.UpstreamID(s.Upstream),
-			Age:      time.Duration(min(s.Age, maxAge)) * time.Millisecond,
+			Age:      milliseconds(s.Age),
 		})
 	}
 	return out
 }
+
+// milliseconds returns n milliseconds, or the longest duration if that is
+// shorter.
+func milliseconds(n uint64) time.Duration {
+	const most = uint64(1<<63-1) / uint64(time.Millisecond)
+	return time.Duration(min(n, most)) * time.Millisecond
+}
--- a/io/bvpeer/bvpeer_test.go
+++ b/io/bvpeer/bvpeer_test.go
@@ -64,6 +64,10 @@
 
 func (p *peer) Bundle() (bvplatform.Bundle, bool) { return p.bundle, p.bundle.Manifest != nil }
 
+func (p *peer) Base(revision uint64) (bvplatform.Bundle, time.Duration, bool) {
+	return p.bundle, time.Hour, revision == 7
+}
+
 func serve(t *testing.T, h Handler, c Credentials, clock clockwork.Clock) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/io/bvpeer/client.go
+++ b/io/bvpeer/client.go
@@ -121,6 +121,17 @@
 	return b, nil
 }
 
+// FetchBase returns an earlier configuration that the peer at control retains
+// for base picks, and how long ago it came into force there.
+func (c *Client) FetchBase(ctx context.Context, control netip.AddrPort, revision uint64) (bvplatform.Bundle, time.Duration, error) {
+	a, err := call[baseRequest, baseAnswer](ctx, c, control, procedureBase, &baseRequest{Revision: revision})
+	if err != nil {
+		return bvplatform.Bundle{}, 0, err
+	}
+	b, err := bvplatform.Assemble(a.Manifest, a.Parts, nil)
+	return b, milliseconds(a.Age), err
+}
+
 // Known tells the client of a configuration that this node has, so that a
 // fetch asks only for other parts.
 func (c *Client) Known(b bvplatform.Bundle) {
--- a/io/bvpeer/server.go
+++ b/io/bvpeer/server.go
@@ -54,6 +54,16 @@
 	Parts    map[string][]byte `cbor:"2,keyasint,omitempty"`
 }
 
+type baseRequest struct {
+	Revision uint64 `cbor:"1,keyasint"`
+}
+
+type baseAnswer struct {
+	Manifest []byte            `cbor:"1,keyasint"`
+	Parts    map[string][]byte `cbor:"2,keyasint,omitempty"`
+	Age      uint64            `cbor:"3,keyasint"` // Milliseconds.
+}
+
 // Server answers the calls of peers.
 type Server struct {
 	handler     Handler
@@ -73,6 +83,7 @@
 	m := http.NewServeMux()
 	m.Handle(procedureSync, connect.NewUnaryHandler(procedureSync, s.sync, o...))
 	m.Handle(procedurePush, connect.NewUnaryHandler(procedurePush, s.push, o...))
+	m.Handle(procedureBase, connect.NewUnaryHandler(procedureBase, s.base, o...))
 	m.Handle(procedureFetch, connect.NewUnaryHandler(procedureFetch, s.fetch, o...))
 	if s.credentials.TLS != nil {
 		return m
@@ -135,3 +146,13 @@
 	}
 	return connect.NewResponse(a), nil
 }
+
+func (s *Server) base(_ context.Context, r *connect.Request[baseRequest]) (*connect.Response[baseAnswer], error) {
+	b, age, ok := s.handler.Base(r.Msg.Revision)
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("bvpeer: the revision is not retained"))
+	}
+	return connect.NewResponse(&baseAnswer{
+		Manifest: b.Manifest, Parts: b.Parts, Age: uint64(max(age, 0) / time.Millisecond),
+	}), nil
+}
--- a/io/bvsettings/bvsettings.go
+++ b/io/bvsettings/bvsettings.go
@@ -26,9 +26,13 @@
 
 // Settings are the settings of one balancer.
 type Settings struct {
-	Node     string // VM name.
-	Zone     string // Availability zone.
-	Group    string
+	Node  string // VM name.
+	Zone  string // Availability zone.
+	Group string
+	// Seeds are control addresses of some balancers of the group. A balancer
+	// that starts while the platform does not answer asks them for the
+	// configuration.
+	Seeds    []netip.AddrPort
 	Listen   Listen
 	Fabric   Fabric
 	Platform Platform
--- a/io/bvsettings/fields.go
+++ b/io/bvsettings/fields.go
@@ -35,12 +35,18 @@
 		}
 		return ""
 	}},
+	{path: "seeds", of: func(s *Settings) any { return &s.Seeds }},
 	{path: "listen.fabric", required: true, of: func(s *Settings) any { return &s.Listen.Fabric }},
 	{path: "listen.peer", required: true, of: func(s *Settings) any { return &s.Listen.Peer }},
 	{path: "listen.control", required: true, of: func(s *Settings) any { return &s.Listen.Control }},
 	{path: "listen.admin", of: func(s *Settings) any { return &s.Listen.Admin }},
 	{path: "fabric.return", required: true, of: func(s *Settings) any { return &s.Fabric.Return }},
-	{path: "platform.addresses", required: true, of: func(s *Settings) any { return &s.Platform.Addresses }},
+	{path: "platform.addresses", required: true, of: func(s *Settings) any { return &s.Platform.Addresses }, check: func(s *Settings) string {
+		if len(s.Platform.Addresses) == 0 {
+			return "addresses is an empty list"
+		}
+		return ""
+	}},
 	{path: "platform.readTimeout", of: func(s *Settings) any { return &s.Platform.ReadTimeout }},
 	{path: "platform.watchWait", of: func(s *Settings) any { return &s.Platform.WatchWait }, check: func(s *Settings) string {
 		if s.Platform.WatchWait < time.Second {
@@ -112,7 +118,7 @@
 
 func setList(to *[]netip.AddrPort, n *yaml.Node) (problem, remedy string) {
 	remedy = "write a list such as [192.0.2.1:8080, 192.0.2.2:8080]"
-	if n.Kind != yaml.SequenceNode || len(n.Content) == 0 {
+	if n.Kind != yaml.SequenceNode {
 		return "value is not a list of IP addresses with ports", remedy
 	}
 	*to = nil
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -109,7 +109,7 @@
 	YAML
 	start "$1" "$balsamvane" run --settings "$run/$1.yaml"
 }
-balancer_active() { "$standin" await "http://${address[$1]}:9001/status" --match '"state":"active"'; }
+balancer_active() { "$standin" await "http://${address[$1]}:9001/status" --match '"state": "active"'; }
 
 # spray NAME…: the balancers to which the fabric sends packets.
 spray() {
@@ -140,7 +140,7 @@
 
 write_files() {
 	mkdir -p "$run/platform" "$run/counts"
-	(umask 077 && head -c 32 /dev/urandom | od -An -v -tx1 | tr -d ' \n' >"$run/peer.key")
+	(umask 077 && head -c 16 /dev/urandom | od -An -v -tx1 | tr -d ' \n' >"$run/peer.key")
 	local u=() b=() h=()
 	for n in "${upstreams[@]}"; do u+=("$(upstream_json "$n")"); done
 	for n in "${balancers[@]}"; do b+=("$(balancer_json "$n")"); done
