--- /dev/null
+++ b/cmd/balsamvane/main_test.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func execute(t *testing.T, args ...string) (string, error) {
+	var out strings.Builder
+	c := newRoot()
+	c.SetArgs(args)
+	c.SetOut(&out)
+	c.SetErr(&out)
+	err := c.ExecuteContext(t.Context())
+	return out.String(), err
+}
+
+// TestCommands guards against a command line that starts with bad settings or
+// reports only some of their problems.
+func TestCommands(t *testing.T) {
+	out, err := execute(t, "run", "--print-settings")
+	require.NoError(t, err)
+	assert.Contains(t, out, "packetQueue: 1024")
+	out, err = execute(t, "version")
+	require.NoError(t, err)
+	assert.Contains(t, out, "balsamvane")
+	_, err = execute(t, "run")
+	require.ErrorContains(t, err, "--settings")
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	require.NoError(t, os.WriteFile(path, []byte("node: a\nzone: 3\ncolour: red\n"), 0o600))
+	_, err = execute(t, "run", "--settings", path)
+	require.ErrorContains(t, err, ":2:7: zone")
+	require.ErrorContains(t, err, ":3:1: unknown setting")
+}
--- a/io/bvdaemon/counters.go
+++ b/io/bvdaemon/counters.go
@@ -29,7 +29,7 @@
 type counters struct {
 	fabricIn, peerIn, heartbeatIn  tally.Counter
 	toUpstream, handedOn, refused  tally.Counter
-	queueOpenings, queueFull       tally.Counter
+	queueOpenings                  tally.Counter
 	oldIncarnation, sendFailed     tally.Counter
 	encodeFailed, heartbeatsFailed tally.Counter
 	droppedBy                      []tally.Counter
@@ -47,7 +47,6 @@
 		handedOn:         s.Counter("packetsHandedOn"),
 		refused:          s.Counter("packetsRefused"),
 		queueOpenings:    s.Tagged(map[string]string{"reason": "queueOpening"}).Counter("packetsDropped"),
-		queueFull:        s.Tagged(map[string]string{"reason": "queueFull"}).Counter("packetsDropped"),
 		oldIncarnation:   s.Tagged(map[string]string{"reason": "oldIncarnation"}).Counter("packetsDropped"),
 		encodeFailed:     s.Tagged(map[string]string{"reason": "encodeFailed"}).Counter("packetsDropped"),
 		sendFailed:       s.Tagged(map[string]string{"reason": "sendFailed"}).Counter("packetsDropped"),
--- a/io/bvdaemon/packets.go
+++ b/io/bvdaemon/packets.go
@@ -43,12 +43,11 @@
 	bound int64
 }
 
+// newQueue returns a queue for a share of the given number of packets.
 func newQueue(packets int) *queue {
 	bound := max(packets/(2*readers), 1)
-	// A batch takes 295 kB and often holds few packets. Half as many packets
-	// as fit into a batch are taken for the average under load; the reader
-	// and the worker hold one batch each.
-	n := max(2*bound/bvtunnel.BatchSize, 6) + 2
+	// The worker holds one batch besides those in the queue.
+	n := max(bound/bvtunnel.BatchSize, 2) + 1
 	q := &queue{free: make(chan *work, n), full: make(chan *work, n), bound: int64(bound)}
 	for range n {
 		q.free <- &work{in: bvtunnel.NewInBatch(), items: make([]item, 0, bvtunnel.BatchSize)}
@@ -56,11 +55,9 @@
 	return q
 }
 
-// busy reports whether openings are to be dropped: half of the packets or
-// three quarters of the batches are waiting.
-func (q *queue) busy() bool {
-	return 2*q.depth.Load() >= q.bound || 4*len(q.full) >= 3*cap(q.full)
-}
+// busy reports whether openings are to be dropped: half of the packets that
+// the queue may hold are waiting.
+func (q *queue) busy() bool { return 2*q.depth.Load() >= q.bound }
 
 // packetLoops are the running readers and workers.
 type packetLoops struct {
@@ -118,7 +115,10 @@
 	decode func(*reader, []byte) (item, bool)
 }
 
-// run reads until the socket is closed or its deadline has passed.
+// run reads until the socket is closed or its deadline has passed. When all
+// batches are in use it waits, and the socket's buffer holds what arrives. A
+// batch of openings only needs no place in the queue while it is busy, so a
+// flood of openings does not make the buffer overflow.
 func (r *reader) run() error {
 	w := <-r.queue.free
 	for {
@@ -131,21 +131,9 @@
 		if r.fill(w); len(w.items) == 0 {
 			continue
 		}
-		n := int64(len(w.items))
-		var next *work
-		if r.queue.depth.Load()+n <= r.queue.bound || len(r.queue.full) == 0 {
-			select {
-			case next = <-r.queue.free:
-			default:
-			}
-		}
-		if next == nil {
-			r.daemon.counters.queueFull.Inc(n)
-			continue
-		}
-		r.queue.depth.Add(n)
+		r.queue.depth.Add(int64(len(w.items)))
 		r.queue.full <- w
-		w = next
+		w = <-r.queue.free
 	}
 }
 
--- a/io/bvsettings/fields.go
+++ b/io/bvsettings/fields.go
@@ -21,7 +21,7 @@
 
 const (
 	maxFlows = 1 << 26
-	maxQueue = 1 << 16
+	maxQueue = 1 << 14 // Batches for 16,384 packets take 150 MB.
 )
 
 var levels = []string{"debug", "info", "warn", "error"}
