Count rejected control calls and test the reload of TLS files

Cause: calls without a valid signature left no trace, and Go's HTTP servers wrote a plain line to standard error for each failed handshake.

Change: bvpeer.NewServer takes a function that is called for each rejected call, counted as controlCallsRejected; the servers' own log is off. A test replaces certificate, key and authority under a running server.

Ruled out: counting failed TLS handshakes, since the TLS listener has no hook for them without a connection of our own.

--- a/io/bvadmin/bvadmin.go
+++ b/io/bvadmin/bvadmin.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/url"
@@ -102,6 +103,8 @@
 		WriteTimeout:      30 * time.Second,
 		IdleTimeout:       time.Minute,
 		MaxHeaderBytes:    16 << 10,
+		// The default writes lines that are not JSON.
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
 	defer stop()
--- a/io/bvdaemon/bvdaemon.go
+++ b/io/bvdaemon/bvdaemon.go
@@ -218,7 +218,8 @@
 	d.tasks.start(context.WithoutCancel(ctx))
 	sockets := d.startPackets()
 	d.spawn(func(ctx context.Context) error {
-		return bvpeer.NewServer(peerHandler{d}, d.credentials(), d.clock).Serve(ctx, d.control)
+		rejected := func() { d.counters.callsRejected.Inc(1) }
+		return bvpeer.NewServer(peerHandler{d}, d.credentials(), d.clock, rejected).Serve(ctx, d.control)
 	})
 	d.spawn(func(ctx context.Context) error {
 		return bvadmin.New(d.metrics, d.sources()).Serve(ctx, d.admin)
--- a/io/bvdaemon/counters.go
+++ b/io/bvdaemon/counters.go
@@ -36,6 +36,7 @@
 	refusedBy                      []tally.Counter
 	malformed                      map[string]tally.Counter
 	configRejected, callsDropped   tally.Counter
+	callsRejected                  tally.Counter
 }
 
 func newCounters(s tally.Scope) *counters {
@@ -54,6 +55,7 @@
 		malformed:        map[string]tally.Counter{},
 		configRejected:   s.Counter("configurationsRejected"),
 		callsDropped:     s.Counter("controlCallsDropped"),
+		callsRejected:    s.Counter("controlCallsRejected"),
 	}
 	for _, r := range reasons {
 		t := s.Tagged(map[string]string{"reason": r})
--- a/io/bvpeer/bvpeer_test.go
+++ b/io/bvpeer/bvpeer_test.go
@@ -18,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,12 +65,15 @@
 
 func (p *peer) Bundle() (bvplatform.Bundle, bool) { return p.bundle, p.bundle.Manifest != nil }
 
+// rejected counts the calls that any server of a test has rejected.
+var rejected atomic.Int64
+
 func serve(t *testing.T, h Handler, c Credentials, clock clockwork.Clock) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
-	go func() { done <- NewServer(h, c, clock).Serve(ctx, l) }()
+	go func() { done <- NewServer(h, c, clock, func() { rejected.Add(1) }).Serve(ctx, l) }()
 	t.Cleanup(func() { cancel(); assert.NoError(t, <-done) })
 	return netip.MustParseAddrPort(l.Addr().String())
 }
@@ -125,6 +129,7 @@
 		c := NewClient(7, Credentials{Keys: &fixedKeys{Current: k}}, at, Options{})
 		return c.Push(t.Context(), addr, received.Records)
 	}
+	before := rejected.Load()
 	assert.Equal(t, connect.CodeUnauthenticated, connect.CodeOf(push(bvtunnel.Key{3}, clock)))
 	late := clockwork.NewFakeClockAt(clock.Now().Add(-time.Minute))
 	assert.Equal(t, connect.CodeUnauthenticated, connect.CodeOf(push(newKey, late)))
@@ -133,6 +138,7 @@
 	require.NoError(t, resp.Body.Close())
 	assert.Equal(t, http.StatusUnauthorized, resp.StatusCode)
 	assert.Empty(t, p.pushed)
+	assert.Equal(t, before+3, rejected.Load())
 	require.NoError(t, push(newKey, clock))
 	require.NoError(t, push(oldKey, clock))
 }
@@ -220,6 +226,36 @@
 	require.Len(t, p.pushed, 2)
 }
 
+// TestTLSReload guards against certificates that stay in use after their files
+// have changed, and against a broken file that takes away working ones.
+func TestTLSReload(t *testing.T) {
+	group, next := authority(t), authority(t)
+	replace := func(to, from string) {
+		b, err := os.ReadFile(from)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(to, b, 0o600))
+		later := time.Now().Add(time.Hour) // The same tick would hide the change.
+		require.NoError(t, os.Chtimes(to, later, later))
+	}
+	addr := serve(t, &peer{}, Credentials{TLS: group}, clockwork.NewFakeClock())
+	push := func(f *TLSFiles) error {
+		c := NewClient(7, Credentials{TLS: f}, clockwork.NewFakeClock(), Options{})
+		c.budget.Called(c.clock.Now())
+		for c.budget.Allow(c.clock.Now()) { // No retry, which would wait for the clock.
+			continue
+		}
+		return c.Push(t.Context(), addr, nil)
+	}
+	require.Error(t, push(next))
+	replace(group.Certificate, next.Certificate)
+	replace(group.Key, next.Key)
+	replace(group.Authority, next.Authority)
+	require.NoError(t, push(next))
+	require.NoError(t, os.WriteFile(group.Authority, []byte("x"), 0o600))
+	require.ErrorIs(t, group.Load(), errAuthority)
+	require.NoError(t, push(next))
+}
+
 // authority writes a new authority and one certificate for 127.0.0.1 signed by
 // it.
 func authority(t *testing.T) *TLSFiles {
--- a/io/bvpeer/credentials.go
+++ b/io/bvpeer/credentials.go
@@ -118,16 +118,17 @@
 }
 
 // authenticated lets only signed requests through and signs the answers.
-func authenticated(next http.Handler, keys bvtunnel.KeySource, clock clockwork.Clock) http.Handler {
+func authenticated(next http.Handler, keys bvtunnel.KeySource, clock clockwork.Clock, rejected func()) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		k := keys.Keys()
 		body, err := readBounded(r.Body, maxRequest)
-		if k == nil || err != nil {
-			w.WriteHeader(http.StatusUnauthorized)
-			return
+		var mac []byte
+		ok := k != nil && err == nil
+		if ok {
+			mac, ok = checkRequest(r, body, k, clock.Now())
 		}
-		mac, ok := checkRequest(r, body, k, clock.Now())
 		if !ok {
+			rejected()
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
--- a/io/bvpeer/server.go
+++ b/io/bvpeer/server.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"encoding/binary"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"slices"
@@ -59,11 +61,13 @@
 	handler     Handler
 	credentials Credentials
 	clock       clockwork.Clock
+	rejected    func()
 }
 
-// NewServer returns a server.
-func NewServer(h Handler, c Credentials, clock clockwork.Clock) *Server {
-	return &Server{handler: h, credentials: c, clock: clock}
+// NewServer returns a server. rejected is called for each call without a valid
+// signature.
+func NewServer(h Handler, c Credentials, clock clockwork.Clock, rejected func()) *Server {
+	return &Server{handler: h, credentials: c, clock: clock, rejected: rejected}
 }
 
 // HTTP returns the server as an HTTP handler that checks the shared key, or
@@ -77,7 +81,7 @@
 	if s.credentials.TLS != nil {
 		return m
 	}
-	return authenticated(m, s.credentials.Keys, s.clock)
+	return authenticated(m, s.credentials.Keys, s.clock, s.rejected)
 }
 
 // Serve answers calls from l until ctx ends.
@@ -92,6 +96,8 @@
 		WriteTimeout:      30 * time.Second,
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    16 << 10,
+		// The default writes a line for each failed handshake.
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
 	defer stop()
