--- a/io/bvdaemon/counters.go
+++ b/io/bvdaemon/counters.go
@@ -29,13 +29,14 @@
 type counters struct {
 	fabricIn, peerIn, heartbeatIn  tally.Counter
 	toUpstream, handedOn, refused  tally.Counter
-	queueOpenings, queueFull       tally.Counter
+	queueOpenings                  tally.Counter
 	oldIncarnation, sendFailed     tally.Counter
 	encodeFailed, heartbeatsFailed tally.Counter
 	droppedBy                      []tally.Counter
 	refusedBy                      []tally.Counter
 	malformed                      map[string]tally.Counter
 	configRejected, callsDropped   tally.Counter
+	callsRejected                  tally.Counter
 }
 
 func newCounters(s tally.Scope) *counters {
@@ -47,7 +48,6 @@
 		handedOn:         s.Counter("packetsHandedOn"),
 		refused:          s.Counter("packetsRefused"),
 		queueOpenings:    s.Tagged(map[string]string{"reason": "queueOpening"}).Counter("packetsDropped"),
-		queueFull:        s.Tagged(map[string]string{"reason": "queueFull"}).Counter("packetsDropped"),
 		oldIncarnation:   s.Tagged(map[string]string{"reason": "oldIncarnation"}).Counter("packetsDropped"),
 		encodeFailed:     s.Tagged(map[string]string{"reason": "encodeFailed"}).Counter("packetsDropped"),
 		sendFailed:       s.Tagged(map[string]string{"reason": "sendFailed"}).Counter("packetsDropped"),
@@ -55,6 +55,7 @@
 		malformed:        map[string]tally.Counter{},
 		configRejected:   s.Counter("configurationsRejected"),
 		callsDropped:     s.Counter("controlCallsDropped"),
+		callsRejected:    s.Counter("controlCallsRejected"),
 	}
 	for _, r := range reasons {
 		t := s.Tagged(map[string]string{"reason": r})
