--- a/core/bvroute/bvroute.go
+++ b/core/bvroute/bvroute.go
@@ -89,9 +89,10 @@
 	history   []past    // Former views, oldest first.
 	disagreed time.Time // The last time that peers had another configuration; zero if never.
 
-	generation uint64 // Counts changes of ownership.
-	baseline   *view  // The view at the start of the last complete sweep.
-	swept      uint64 // The generation of the last complete sweep.
+	generation uint64    // Counts changes of ownership.
+	baseline   *view     // The view at the start of the last complete sweep.
+	changed    time.Time // The first change of ownership after the last complete sweep.
+	swept      uint64    // The generation of the last complete sweep.
 }
 
 // past is a view that has been replaced.
@@ -136,6 +137,9 @@
 	}
 	if old.ownership != v.ownership {
 		r.history = append(r.history, past{old, now})
+		if r.swept == r.generation {
+			r.changed = now
+		}
 		r.generation++
 	}
 	for len(r.history) > 0 && now.Sub(r.history[0].until) > r.options.OpeningWindow {
--- a/core/bvroute/members.go
+++ b/core/bvroute/members.go
@@ -33,17 +33,14 @@
 }
 
 // members returns the owner of k and its replica set: the second-ranked
-// balancer of the zone, the first two in the base zone, and joining balancers
-// that rank above these. The owner in the base zone is the one that every
+// balancer of the zone, the first two in the home zone, and joining balancers
+// that rank above these. The owner in the home zone is the one that every
 // other balancer asks about a flow that it does not know, whatever its
 // configuration says; the second one there takes over when the first dies
 // while a new configuration changes the zone of the flow.
 func (v *view) members(s *service, k bvflow.Key) (m members) {
 	_, placing := v.placing(s, k)
-	zones := [2]int{placing, -1}
-	if len(s.bases) > 0 {
-		zones[1] = s.bases[0].zone(k)
-	}
+	zones := [2]int{placing, v.home(s, k)}
 	var seconds [2]*node
 	for i, z := range zones {
 		seconds[i] = v.addFirstTwo(&m, k, z)
--- a/core/bvroute/record.go
+++ b/core/bvroute/record.go
@@ -26,7 +26,7 @@
 			return drop(t.obstacle)
 		}
 	}
-	if !c.store(e, rec) {
+	if c.concerns(e, rec) && !c.store(e, rec) {
 		return drop(ReasonOverload)
 	}
 	if d, ok := c.toReplica(rec); ok {
@@ -42,6 +42,17 @@
 	}
 }
 
+// concerns reports whether this node has to keep the record. It need not when
+// it only sends a packet in mid-flow for a balancer that lacks the newest
+// configuration.
+func (c *passage) concerns(e *bvflow.Entry, rec Record) bool {
+	if e != nil || rec.Count > 0 || rec.Kind == RecordRefused || c.opening() || c.datagram() {
+		return true
+	}
+	m := c.view.members(c.service, c.key)
+	return m.contains(c.self)
+}
+
 // handBack returns a recorded packet to the owner that has placed it, or to
 // the last node that had it. The last replica does so while it does not have
 // the configuration with the upstream yet. Each step extends the trail, which
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -112,7 +112,7 @@
 // mayUse reports whether the entry decides here. Otherwise the owner is asked
 // first: a former owner's entry may be out of date once the caller has closed
 // the flow or has been silent for long, and a replica's record is for the time
-// when it becomes the owner. The owner in the base zone uses its record at
+// when it becomes the owner. The owner in the home zone uses its record at
 // once, since the owner would come back to ask it.
 func (c *passage) mayUse(e *bvflow.Entry) bool {
 	closed := e.State == bvflow.StateClosed || e.State == bvflow.StateClosing && c.opening()
@@ -128,17 +128,10 @@
 	if c.trail.Count > 0 || e.Has(bvflow.FlagOwner) && c.swept != c.generation {
 		return true
 	}
-	o := c.view.owner(c.key, c.baseZone())
+	o := c.view.owner(c.key, c.view.home(c.service, c.key))
 	return o != nil && o.ID == c.self
 }
 
-func (c *passage) baseZone() int {
-	if len(c.service.bases) == 0 {
-		return -1
-	}
-	return c.service.bases[0].zone(c.key)
-}
-
 // handTo hands the packet on to n, unless n has had it or is this node.
 func (c *passage) handTo(n *node) (d Decision, ok bool) {
 	if n == nil || n.ID == c.self || c.trail.Contains(n.ID) {
@@ -202,11 +195,11 @@
 	if !c.enabled(basePicking) {
 		t = c.service.current.upstream(c.key)
 	}
-	for _, z := range [2]int{c.configured, base} {
-		if z < 0 || z == c.view.selfZone || c.view.zones[z].out {
+	for _, z := range [3]int{c.configured, base, c.view.home(c.service, c.key)} {
+		if z < 0 || z == c.view.selfZone {
 			continue
 		}
-		if len(c.view.zones[z].active) == 0 {
+		if len(c.view.zones[z].active) == 0 && !c.view.zones[z].out {
 			return drop(ReasonNoOwner)
 		}
 		if d, ok := c.handTo(c.view.owner(c.key, z)); ok {
@@ -250,7 +243,7 @@
 	reason := ReasonNone
 	switch {
 	case t == nil:
-		return c.askMember()
+		return c.delegate(e)
 	case t.service != c.service && c.enabled(serviceChecks):
 		reason = ReasonUpstreamGone
 	default:
@@ -278,15 +271,31 @@
 	return c.send(e, t)
 }
 
-// askMember hands the packet of an exception whose upstream this node does
-// not know yet, for lack of the newest configuration, to another balancer that
-// has the exception.
-func (c *passage) askMember() Decision {
+// delegate hands the packet of an exception whose upstream this node does not
+// know yet, for lack of the newest configuration, to a balancer with another
+// configuration. The record goes along, so that the receiver need not know
+// the flow.
+func (c *passage) delegate(e *bvflow.Entry) Decision {
+	send := func(n *node) (Decision, bool) {
+		if !n.OtherVersion {
+			return Decision{}, false
+		}
+		d, ok := c.handTo(n)
+		d.Reason, d.Upstream = ReasonUnknownUpstream, bvconfig.UpstreamID(e.Upstream)
+		d.Record = Record{Kind: RecordPlaced, Upstream: d.Upstream}
+		return d, ok
+	}
 	m := c.view.members(c.service, c.key)
 	for _, id := range m.ids[:m.count] {
-		if n, ok := c.view.peers[id]; ok && n.OtherVersion {
-			if d, ok := c.handTo(&n); ok {
-				d.Reason = ReasonUnknownUpstream
+		if n, ok := c.view.peers[id]; ok {
+			if d, ok := send(&n); ok {
+				return d
+			}
+		}
+	}
+	for i := range c.view.zones {
+		for j := range c.view.zones[i].nodes {
+			if d, ok := send(&c.view.zones[i].nodes[j]); ok {
 				return d
 			}
 		}
--- a/core/bvroute/sweep.go
+++ b/core/bvroute/sweep.go
@@ -73,7 +73,10 @@
 		old = r.baseline.members(s, e.Key)
 	}
 	sender := r.sender(&old)
-	all := e.Has(bvflow.FlagOwner) && e.Replicated == 0 || sender == 0 || r.view.state == bvmember.StateLeaving
+	// The replica set of a flow that has been placed since the first change
+	// is that of a view in between, so any holder sends it.
+	between := r.swept != r.generation && e.Replicated >= max(r.table.Seconds(r.changed), 1)
+	all := between || e.Has(bvflow.FlagOwner) && e.Replicated == 0 || sender == 0 || r.view.state == bvmember.StateLeaving
 	if !all && sender != r.self {
 		return h, false
 	}
--- a/core/bvroute/view.go
+++ b/core/bvroute/view.go
@@ -70,6 +70,9 @@
 	idempotent bool
 	current    picks
 	bases      []picks
+	// homes ranks all zones of the first base list, with those that have left
+	// it.
+	homes []bvpick.Candidate
 }
 
 // node is a balancer, possibly this one.
@@ -176,6 +179,7 @@
 		c := &service{
 			name: s.Name, vni: s.VNI, class: s.Class, idempotent: s.Idempotent,
 			current: newPicks(len(v.zones)), bases: make([]picks, len(p.Bases)),
+			homes: make([]bvpick.Candidate, len(v.zones)),
 		}
 		for i := range c.bases {
 			c.bases[i] = newPicks(len(v.zones))
@@ -204,14 +208,11 @@
 		t.takesNew = !u.Leaving && t.obstacle == ReasonNone
 		if t.takesNew {
 			t.service.current.lists[t.zone].add(t, u.Weight)
-			if weights[t.service] == nil {
-				weights[t.service] = make([]uint64, len(v.zones))
-			}
-			weights[t.service][t.zone] += uint64(u.Weight)
+			addWeight(weights, t, u.Weight, len(v.zones))
 		}
 	}
 	for s, w := range weights {
-		v.weigh(&s.current, w)
+		v.weigh(s.current.zones, w)
 	}
 	for _, u := range p.Retired {
 		v.addUpstream(u, holders, p.Gone)
@@ -223,9 +224,9 @@
 	}
 }
 
-func (v *view) weigh(p *picks, weights []uint64) {
+func (v *view) weigh(zones []bvpick.Candidate, weights []uint64) {
 	for i, w := range weights {
-		p.zones[i] = bvpick.Zone(v.zones[i].name, w)
+		zones[i] = bvpick.Zone(v.zones[i].name, w)
 	}
 }
 
@@ -250,7 +251,7 @@
 }
 
 func (v *view) addBase(i int, b Base, gone *removal) {
-	weights := map[*service][]uint64{}
+	weights, whole := map[*service][]uint64{}, map[*service][]uint64{}
 	for _, z := range b.ZonesOut {
 		gone.zones[z] = true
 	}
@@ -265,20 +266,34 @@
 		if t.obstacle != ReasonNone {
 			gone.upstreams[t.id] = true
 		}
-		if t.service == nil || gone.zones[u.Zone] {
+		if t.service == nil || t.zone < 0 {
 			continue
 		}
-		if weights[t.service] == nil {
-			weights[t.service] = make([]uint64, len(v.zones))
+		addWeight(whole, t, u.Weight, len(v.zones))
+		if gone.zones[u.Zone] {
+			continue
 		}
-		weights[t.service][t.zone] += uint64(u.Weight)
+		addWeight(weights, t, u.Weight, len(v.zones))
 		if !gone.upstreams[t.id] {
 			t.service.bases[i].lists[t.zone].add(t, u.Weight)
 		}
 	}
 	for s, w := range weights {
-		v.weigh(&s.bases[i], w)
+		v.weigh(s.bases[i].zones, w)
+	}
+	if i == 0 {
+		for s, w := range whole {
+			v.weigh(s.homes, w)
+		}
+	}
+}
+
+// addWeight adds to the weight of the target's service in its zone.
+func addWeight(weights map[*service][]uint64, t *target, weight uint32, zones int) {
+	if weights[t.service] == nil {
+		weights[t.service] = make([]uint64, zones)
 	}
+	weights[t.service][t.zone] += uint64(weight)
 }
 
 // fingerprint covers everything that determines owners, replica sets and base
@@ -306,8 +321,9 @@
 	for _, n := range names {
 		s := v.byName[n]
 		b = append(append(b, n...), 0)
-		for _, z := range s.current.zones {
-			number(z.Weight())
+		for i := range v.zones {
+			number(s.current.zones[i].Weight())
+			number(s.homes[i].Weight())
 		}
 		for _, p := range s.bases {
 			for i, z := range p.zones {
@@ -342,16 +358,30 @@
 	for placing >= 0 && len(v.zones[placing].active) == 0 {
 		placing = bvpick.Next(k, s.current.zones, placing)
 	}
-	if configured >= 0 || len(s.bases) == 0 {
-		return configured, placing
-	}
-	placing = s.bases[0].zone(k)
-	for placing >= 0 && len(v.zones[placing].active) == 0 {
-		placing = bvpick.Next(k, s.bases[0].zones, placing)
+	if configured < 0 {
+		placing = v.home(s, k)
 	}
 	return configured, placing
 }
 
+// home returns the zone whose owner knows every exception of k: the base zone
+// or, where the list has lost all zones or the zone has no active balancer,
+// the first one of the whole list that has one. It is -1 if there is none.
+func (v *view) home(s *service, k bvflow.Key) int {
+	if len(s.bases) == 0 {
+		return -1
+	}
+	zone := s.bases[0].zone(k)
+	if zone >= 0 && len(v.zones[zone].active) > 0 {
+		return zone
+	}
+	zone = bvpick.Best(k, s.homes)
+	for zone >= 0 && len(v.zones[zone].active) == 0 {
+		zone = bvpick.Next(k, s.homes, zone)
+	}
+	return zone
+}
+
 // basePick returns the upstream that k has in the base list, and its zone.
 func (s *service) basePick(k bvflow.Key) (*target, int) {
 	if len(s.bases) == 0 {
