Send packets of unknown upstreams to the peer with the newest configuration

Cause: with three configurations in force at once, packets in mid-flow were dropped at a balancer that had a record of an upstream which it did not know.

Change: Peer carries its Version instead of a flag; replicas are visited in ascending order of configuration; a record goes along to the newest peer.

Ruled out: handing the packet to another member without the record, which may adopt the base pick instead.

--- a/core/bvroute/fixture_test.go
+++ b/core/bvroute/fixture_test.go
@@ -162,7 +162,7 @@
 			if o != n {
 				p.Peers = append(p.Peers, Peer{
 					ID: o.ID(), Zone: o.Zone, State: o.state, Tunnel: o.Tunnel, InSync: true,
-					OtherVersion: o.config.Version != n.config.Version,
+					Version: o.config.Version,
 				})
 			}
 		}
--- a/core/bvroute/members.go
+++ b/core/bvroute/members.go
@@ -92,19 +92,22 @@
 	return bvpick.Best(k, []bvpick.Candidate{bvpick.Balancer(a.ID), bvpick.Balancer(b.ID)}) == 0
 }
 
-// replicas returns a record's remaining members, without this node. Balancers
-// with another configuration come first: the last one sends the packet, and
-// they may not know its upstream yet.
+// replicas returns a record's remaining members, without this node. They are
+// in ascending order of their configurations: the last one sends the packet,
+// and the others may not know its upstream yet.
 func (v *view) replicas(s *service, k bvflow.Key) (r Record) {
 	m := v.members(s, k)
-	for _, other := range [2]bool{true, false} {
-		for _, id := range m.ids[:m.count] {
-			n, ok := v.peers[id]
-			if ok && n.OtherVersion == other && int(r.Count) < MaxReplicas {
-				r.Replicas[r.Count] = id
-				r.Count++
-			}
+	for _, id := range m.ids[:m.count] {
+		n, ok := v.peers[id]
+		if !ok || int(r.Count) == MaxReplicas {
+			continue
+		}
+		i := int(r.Count)
+		for ; i > 0 && v.peers[r.Replicas[i-1]].Version.Compare(n.Version) > 0; i-- {
+			r.Replicas[i] = r.Replicas[i-1]
 		}
+		r.Replicas[i] = id
+		r.Count++
 	}
 	return r
 }
--- a/core/bvroute/picture.go
+++ b/core/bvroute/picture.go
@@ -64,6 +64,6 @@
 	Tunnel netip.AddrPort
 	// InSync tells that this node has all exceptions that the peer had for it.
 	InSync bool
-	// OtherVersion tells that the peer runs another configuration.
-	OtherVersion bool
+	// Version is that of the configuration which the peer runs.
+	Version bvconfig.Version
 }
--- a/core/bvroute/record.go
+++ b/core/bvroute/record.go
@@ -55,10 +55,9 @@
 
 // handBack returns a recorded packet to the owner that has placed it, or to
 // the last node that had it. The last replica does so while it does not have
-// the configuration with the upstream yet. Each step extends the trail, which
-// bounds them.
+// the configuration with the upstream yet.
 func (c *passage) handBack(rec Record) Decision {
-	if c.trail.Count == 0 || c.trail.Count == MaxVisited {
+	if c.trail.Count == 0 {
 		return drop(ReasonUnknownUpstream)
 	}
 	to := c.trail.Visited[c.trail.Count-1]
@@ -69,6 +68,15 @@
 	if !ok {
 		return drop(ReasonUnknownUpstream)
 	}
+	return c.handRecord(&n, rec)
+}
+
+// handRecord hands the packet on with a record whose upstream this node does
+// not know. Each step extends the trail, which bounds them.
+func (c *passage) handRecord(n *node, rec Record) Decision {
+	if c.trail.Count == MaxVisited {
+		return drop(ReasonUnknownUpstream)
+	}
 	return Decision{
 		Verdict: VerdictHandOn, Reason: ReasonUnknownUpstream, Next: n.ID, Tunnel: n.Tunnel,
 		Upstream: rec.Upstream, Trail: c.trail.With(c.self), Record: rec,
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -272,35 +272,14 @@
 }
 
 // delegate hands the packet of an exception whose upstream this node does not
-// know yet, for lack of the newest configuration, to a balancer with another
-// configuration. The record goes along, so that the receiver need not know
-// the flow.
+// know yet to the balancer with the newest configuration. The record goes
+// along, so that the receiver need not know the flow, and may have had the
+// packet before.
 func (c *passage) delegate(e *bvflow.Entry) Decision {
-	send := func(n *node) (Decision, bool) {
-		if !n.OtherVersion {
-			return Decision{}, false
-		}
-		d, ok := c.handTo(n)
-		d.Reason, d.Upstream = ReasonUnknownUpstream, bvconfig.UpstreamID(e.Upstream)
-		d.Record = Record{Kind: RecordPlaced, Upstream: d.Upstream}
-		return d, ok
-	}
-	m := c.view.members(c.service, c.key)
-	for _, id := range m.ids[:m.count] {
-		if n, ok := c.view.peers[id]; ok {
-			if d, ok := send(&n); ok {
-				return d
-			}
-		}
-	}
-	for i := range c.view.zones {
-		for j := range c.view.zones[i].nodes {
-			if d, ok := send(&c.view.zones[i].nodes[j]); ok {
-				return d
-			}
-		}
+	if c.view.newest == nil {
+		return drop(ReasonUnknownUpstream)
 	}
-	return drop(ReasonUnknownUpstream)
+	return c.handRecord(c.view.newest, Record{Kind: RecordPlaced, Upstream: bvconfig.UpstreamID(e.Upstream)})
 }
 
 // renewable reports whether an opening packet for a closed flow starts a new
--- a/core/bvroute/view.go
+++ b/core/bvroute/view.go
@@ -103,6 +103,7 @@
 	synced    bool // With all active peers.
 	agreed    bool // All peers run the same configuration.
 	disabled  mechanism
+	newest    *node // The peer with the highest configuration, if that is above this node's.
 	ownership uint64
 }
 
@@ -151,15 +152,18 @@
 }
 
 func (v *view) addNodes(p Picture, selfZone string) {
-	all := append(slices.Clone(p.Peers), Peer{ID: v.self, Zone: selfZone, State: p.State, InSync: true})
+	all := append(slices.Clone(p.Peers), Peer{ID: v.self, Zone: selfZone, State: p.State, InSync: true, Version: p.Config.Version})
 	slices.SortFunc(all, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
 	for _, q := range all {
 		n := node{Peer: q, zone: v.zoneIndex(q.Zone)}
 		if q.ID != v.self {
 			v.peers[q.ID] = n
-			v.agreed = v.agreed && !q.OtherVersion
+			v.agreed = v.agreed && q.Version == p.Config.Version
 			v.synced = v.synced && (q.InSync || q.State != bvmember.StateActive)
 		}
+		if highest := cmp.Or(v.newest, &node{Peer: Peer{Version: p.Config.Version}}); q.Version.Compare(highest.Version) > 0 {
+			v.newest = &n
+		}
 		if n.zone < 0 {
 			continue
 		}
