--- a/core/bvroute/record.go
+++ b/core/bvroute/record.go
@@ -26,7 +26,7 @@
 			return drop(t.obstacle)
 		}
 	}
-	if !c.store(e, rec) {
+	if c.concerns(e, rec) && !c.store(e, rec) {
 		return drop(ReasonOverload)
 	}
 	if d, ok := c.toReplica(rec); ok {
@@ -42,12 +42,22 @@
 	}
 }
 
+// concerns reports whether this node has to keep the record. It need not when
+// it only sends a packet in mid-flow for a balancer that lacks the newest
+// configuration.
+func (c *passage) concerns(e *bvflow.Entry, rec Record) bool {
+	if e != nil || rec.Count > 0 || rec.Kind == RecordRefused || c.opening() || c.datagram() {
+		return true
+	}
+	m := c.view.members(c.service, c.key)
+	return m.contains(c.self)
+}
+
 // handBack returns a recorded packet to the owner that has placed it, or to
 // the last node that had it. The last replica does so while it does not have
-// the configuration with the upstream yet. Each step extends the trail, which
-// bounds them.
+// the configuration with the upstream yet.
 func (c *passage) handBack(rec Record) Decision {
-	if c.trail.Count == 0 || c.trail.Count == MaxVisited {
+	if c.trail.Count == 0 {
 		return drop(ReasonUnknownUpstream)
 	}
 	to := c.trail.Visited[c.trail.Count-1]
@@ -58,6 +68,15 @@
 	if !ok {
 		return drop(ReasonUnknownUpstream)
 	}
+	return c.handRecord(&n, rec)
+}
+
+// handRecord hands the packet on with a record whose upstream this node does
+// not know. Each step extends the trail, which bounds them.
+func (c *passage) handRecord(n *node, rec Record) Decision {
+	if c.trail.Count == MaxVisited {
+		return drop(ReasonUnknownUpstream)
+	}
 	return Decision{
 		Verdict: VerdictHandOn, Reason: ReasonUnknownUpstream, Next: n.ID, Tunnel: n.Tunnel,
 		Upstream: rec.Upstream, Trail: c.trail.With(c.self), Record: rec,
