Pass the versions of peers to the router

Cause: the router orders replicas by their configuration and needs versions. Change: the node passes the version in place of a flag. Ruled out: keeping both fields.

--- a/core/bvnode/picture.go
+++ b/core/bvnode/picture.go
@@ -112,7 +112,7 @@
 		if m.Alive {
 			p.Peers = append(p.Peers, bvroute.Peer{
 				ID: m.Node, Zone: m.Zone, State: m.State, Tunnel: m.Tunnel, InSync: m.InSync,
-				OtherVersion: m.Version != c.Version,
+				Version: m.Version,
 			})
 		}
 	}
