--- a/cmd/balsamvane/main_test.go
+++ b/cmd/balsamvane/main_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-func execute(t *testing.T, args ...string) (string, error) {
+func executeRoot(t *testing.T, args ...string) (string, error) {
 	var out strings.Builder
 	c := newRoot()
 	c.SetArgs(args)
@@ -23,17 +23,17 @@
 // TestCommands guards against a command line that starts with bad settings or
 // reports only some of their problems.
 func TestCommands(t *testing.T) {
-	out, err := execute(t, "run", "--print-settings")
+	out, err := executeRoot(t, "run", "--print-settings")
 	require.NoError(t, err)
 	assert.Contains(t, out, "packetQueue: 1024")
-	out, err = execute(t, "version")
+	out, err = executeRoot(t, "version")
 	require.NoError(t, err)
 	assert.Contains(t, out, "balsamvane")
-	_, err = execute(t, "run")
+	_, err = executeRoot(t, "run")
 	require.ErrorContains(t, err, "--settings")
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	require.NoError(t, os.WriteFile(path, []byte("node: a\nzone: 3\ncolour: red\n"), 0o600))
-	_, err = execute(t, "run", "--settings", path)
+	_, err = executeRoot(t, "run", "--settings", path)
 	require.ErrorContains(t, err, ":2:7: zone")
 	require.ErrorContains(t, err, ":3:1: unknown setting")
 }
