Move the retry budget to the core and drop decisions made before a pause

Cause: the retry budget stood twice; a process paused between deciding and sending carried out old decisions; refusals lost the service on the wire; a node without peers was never ready. Change: core/bvretry serves both sides; a batch older than 1 s is dropped and counted; refusals carry an upstream of their service; readiness comes from the node. Ruled out: checking the clock for each packet, which costs a call each.

--- a/core/bvnode/records.go
+++ b/core/bvnode/records.go
@@ -7,21 +7,25 @@
 	"balsamvane/core/bvflow"
 	"balsamvane/core/bvlimit"
 	"balsamvane/core/bvmember"
+	"balsamvane/core/bvretry"
 	"balsamvane/core/bvsync"
 )
 
 const (
 	// pullRetry is the time after which an unanswered request is repeated.
 	pullRetry = 3 * time.Second
+	// firstRetry is the first delay after a failed request.
+	firstRetry = 200 * time.Millisecond
 	// recordBytesPerRequest bounds one answer to a sync request.
 	recordBytesPerRequest = 1200
 )
 
 // pull is the sync with one peer.
 type pull struct {
-	cursor uint64
-	next   time.Time // Of the next request.
-	done   bool
+	cursor  uint64
+	next    time.Time // Of the next request.
+	done    bool
+	backoff *bvretry.Backoff
 }
 
 // pullRecords asks active peers for the exceptions that this node needs, and
@@ -41,7 +45,7 @@
 		}
 		q := n.pulls[p.Node]
 		if q == nil {
-			q = &pull{}
+			q = &pull{backoff: bvretry.NewBackoff(firstRetry, pullRetry, n.options.Seed^uint64(p.Node))}
 			n.pulls[p.Node] = q
 		}
 		if q.done || now.Before(q.next) {
@@ -75,6 +79,7 @@
 		return
 	}
 	q.cursor = ev.Cursor
+	q.backoff.Reset()
 	q.next = now.Add(n.pace(len(ev.Records)))
 	if ev.Done {
 		q.done = true
@@ -99,7 +104,7 @@
 
 func (n *Node) syncFailed(now time.Time, from bvconfig.NodeID) {
 	if q := n.pulls[from]; q != nil {
-		q.next = now.Add(bvlimit.Backoff(n.options.Seed^uint64(from), 1))
+		q.next = now.Add(q.backoff.Next())
 	}
 }
 
--- a/io/bvretry/bvretry_test.go
+++ b/core/bvretry/bvretry_test.go
@@ -42,3 +42,31 @@
 	b.Reset()
 	assert.LessOrEqual(t, b.Next(), time.Second)
 }
+
+// TestBudgetRate guards against retries that multiply the load on a peer over
+// a long time.
+func TestBudgetRate(t *testing.T) {
+	const calls, step = 10_000, 10 * time.Millisecond
+	var b Budget
+	retries := 0
+	for i := range calls {
+		now := time.Unix(100, 0).Add(time.Duration(i) * step)
+		b.Called(now)
+		for b.Allow(now) {
+			retries++
+		}
+	}
+	assert.InDelta(t, calls/10+100+maxSaved, retries, 2)
+}
+
+// TestBackoffSpread guards against clients that retry in step, and against
+// delays that differ between runs with the same seed.
+func TestBackoffSpread(t *testing.T) {
+	seen := map[time.Duration]bool{}
+	for seed := range uint64(50) {
+		d := NewBackoff(time.Second, 8*time.Second, seed).Next()
+		assert.Equal(t, d, NewBackoff(time.Second, 8*time.Second, seed).Next())
+		seen[d] = true
+	}
+	assert.Greater(t, len(seen), 45)
+}
--- a/io/bvdaemon/admin.go
+++ b/io/bvdaemon/admin.go
@@ -24,7 +24,11 @@
 	return d.node.Status(d.clock.Now())
 }
 
-func (d *Daemon) ready() bool { return d.heartbeat().State == bvmember.StateActive }
+func (d *Daemon) ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Status(d.clock.Now()).State == bvmember.StateActive.String()
+}
 
 // dump answers the dump endpoint: the node's whole state, or what it has of
 // one service or VM, or why one flow goes where it goes.
--- a/io/bvdaemon/worker.go
+++ b/io/bvdaemon/worker.go
@@ -1,10 +1,17 @@
 package bvdaemon
 
 import (
+	"time"
+
 	"balsamvane/core/bvroute"
 	"balsamvane/io/bvtunnel"
 )
 
+// maxDecisionAge is the age above which decisions are not carried out. The
+// process was paused between deciding and sending, and the picture may have
+// changed meanwhile.
+const maxDecisionAge = time.Second
+
 // outlet collects packets for one socket.
 type outlet struct {
 	socket *bvtunnel.Socket
@@ -51,6 +58,10 @@
 		w.decisions = append(w.decisions, w.daemon.node.Packet(now, it.packet, it.trail, it.record))
 	}
 	w.daemon.mu.Unlock()
+	if w.daemon.clock.Since(now) > maxDecisionAge {
+		reasonOf(w.daemon.counters.droppedBy, bvroute.ReasonPaused).Inc(int64(len(items)))
+		return
+	}
 	for i := range items {
 		w.execute(&items[i], &w.decisions[i])
 	}
--- a/io/bvpeer/bvpeer.go
+++ b/io/bvpeer/bvpeer.go
@@ -90,14 +90,12 @@
 	return eris.Wrap(c.decoding.Unmarshal(b, v), "bvpeer: decoding message")
 }
 
-// A placed record takes 24 bytes on the wire, key and upstream; a refusal
-// takes 16, its key.
-const (
-	placedSize  = 24
-	refusedSize = 16
-)
+// recordSize is the size of a record on the wire: key and upstream.
+const recordSize = 24
 
-// records is the wire form of a list of exceptions and refusals.
+// records is the wire form of a list of exceptions and refusals. A refusal
+// has the ID of some upstream of its service, which tells its replicas which
+// service it belongs to.
 type records struct {
 	Placed  []byte `cbor:"1,keyasint,omitempty"`
 	Refused []byte `cbor:"2,keyasint,omitempty"`
@@ -106,33 +104,32 @@
 func encodeRecords(l []bvnode.FlowRecord) records {
 	var w records
 	for _, r := range l {
-		switch r.Kind {
-		case bvroute.RecordPlaced:
-			w.Placed = append(w.Placed, r.Key[:]...)
-			w.Placed = appendUint64(w.Placed, uint64(r.Upstream))
-		case bvroute.RecordRefused:
-			w.Refused = append(w.Refused, r.Key[:]...)
+		to := &w.Placed
+		if r.Kind == bvroute.RecordRefused {
+			to = &w.Refused
 		}
+		*to = append(*to, r.Key[:]...)
+		*to = appendUint64(*to, uint64(r.Upstream))
 	}
 	return w
 }
 
 func (w records) decode() ([]bvnode.FlowRecord, error) {
-	if len(w.Placed)%placedSize != 0 || len(w.Refused)%refusedSize != 0 {
+	if len(w.Placed)%recordSize != 0 || len(w.Refused)%recordSize != 0 {
 		return nil, ErrRecords
 	}
-	out := make([]bvnode.FlowRecord, 0, len(w.Placed)/placedSize+len(w.Refused)/refusedSize)
-	for b := w.Placed; len(b) > 0; b = b[placedSize:] {
-		out = append(out, bvnode.FlowRecord{
-			Key:      [16]byte(b[:16]),
-			Kind:     bvroute.RecordPlaced,
-			Upstream: bvconfig.UpstreamID(readUint64(b[16:])),
+	out := make([]bvnode.FlowRecord, 0, (len(w.Placed)+len(w.Refused))/recordSize)
+	out = appendRecords(out, w.Placed, bvroute.RecordPlaced)
+	return appendRecords(out, w.Refused, bvroute.RecordRefused), nil
+}
+
+func appendRecords(to []bvnode.FlowRecord, b []byte, kind bvroute.RecordKind) []bvnode.FlowRecord {
+	for ; len(b) > 0; b = b[recordSize:] {
+		to = append(to, bvnode.FlowRecord{
+			Key: [16]byte(b[:16]), Kind: kind, Upstream: bvconfig.UpstreamID(readUint64(b[16:])),
 		})
 	}
-	for b := w.Refused; len(b) > 0; b = b[refusedSize:] {
-		out = append(out, bvnode.FlowRecord{Key: [16]byte(b[:16]), Kind: bvroute.RecordRefused})
-	}
-	return out, nil
+	return to
 }
 
 type warmState struct {
--- a/io/bvpeer/client.go
+++ b/io/bvpeer/client.go
@@ -11,8 +11,8 @@
 
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvnode"
+	"balsamvane/core/bvretry"
 	"balsamvane/io/bvplatform"
-	"balsamvane/io/bvretry"
 
 	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
--- a/io/bvplatform/bvplatform.go
+++ b/io/bvplatform/bvplatform.go
@@ -30,7 +30,7 @@
 	"sync"
 	"time"
 
-	"balsamvane/io/bvretry"
+	"balsamvane/core/bvretry"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
--- a/io/bvplatform/watch.go
+++ b/io/bvplatform/watch.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"balsamvane/io/bvretry"
+	"balsamvane/core/bvretry"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
