--- a/core/bvroute/differential_test.go
+++ b/core/bvroute/differential_test.go
@@ -61,6 +61,7 @@
 	if h.inZone(n.Zone) < 3 {
 		t.Skip("the zone needs two balancers")
 	}
+	h.shareConfig(n)
 	h.sweep()
 	h.fleet.kill(n)
 }
@@ -70,9 +71,21 @@
 	if h.inZone(n.Zone) < 3 {
 		t.Skip("the zone needs two balancers")
 	}
+	h.shareConfig(n)
 	h.fleet.leave(n)
 }
 
+// shareConfig brings the newest configuration to all nodes if only n has it:
+// where no node knows an upstream's address, its flows have to wait.
+func (h *history) shareConfig(n *balancer) {
+	for _, o := range h.nodes {
+		if o != n && o.config.Version.Compare(n.config.Version) >= 0 {
+			return
+		}
+	}
+	h.roll(1)
+}
+
 func (h *history) inZone(zone string) (n int) {
 	for _, o := range h.nodes {
 		if o.Zone == zone {
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -69,10 +69,12 @@
 		c.table.Delete(c.key)
 		return nil
 	}
-	if t := c.target(e); c.opening() && t != nil && t.service != c.service && c.enabled(serviceChecks) {
-		c.uncount(c.now, e)
-		c.table.Delete(c.key)
-		return nil
+	if c.opening() && c.enabled(serviceChecks) {
+		if t := c.target(e); t != nil && t.service != c.service {
+			c.uncount(c.now, e)
+			c.table.Delete(c.key)
+			return nil
+		}
 	}
 	return e
 }
--- a/core/bvroute/sweep.go
+++ b/core/bvroute/sweep.go
@@ -124,7 +124,9 @@
 			return true
 		}
 		m := v.members(t.service, e.Key)
-		if !m.contains(peer) || !e.Has(bvflow.FlagOwner) && m.firstBut(peer) != r.self {
+		// All members answer, not only the first: that one may have joined so
+		// recently that it lacks the record.
+		if !m.contains(peer) || !e.Has(bvflow.FlagOwner) && !m.contains(r.self) {
 			return true
 		}
 		h := newHandover(e)
@@ -136,15 +138,6 @@
 	return into, next, done
 }
 
-func (m *members) firstBut(n bvconfig.NodeID) bvconfig.NodeID {
-	for _, id := range m.ids[:m.count] {
-		if id != n {
-			return id
-		}
-	}
-	return 0
-}
-
 // with returns the view as it will be when peer is active.
 func (v *view) with(peer bvconfig.NodeID) *view {
 	n, ok := v.peers[peer]
