Take the time once per packet and hash service addresses without pointers

Change: the passage keeps the seconds, and the service map has a flat key.

Ruled out: caching the last service, which helps a benchmark with one service only.

--- a/core/bvflow/table.go
+++ b/core/bvflow/table.go
@@ -225,22 +225,24 @@
 	}
 }
 
-// Expired reports whether e has outlived its lifetime.
-func (t *Table) Expired(now time.Time, e *Entry) bool {
-	age := time.Duration(int64(t.Seconds(now))-int64(e.Seen)) * time.Second
+// Expired reports whether e has outlived its lifetime at the given number of
+// seconds since the epoch.
+func (t *Table) Expired(seconds uint32, e *Entry) bool {
+	age := time.Duration(int64(seconds)-int64(e.Seen)) * time.Second
 	return age > t.Lifetime(e)
 }
 
 // Expire looks at the next work slots and deletes expired entries, calling
 // before for each of them. Calls go round the table.
 func (t *Table) Expire(now time.Time, work int, before func(*Entry)) {
+	seconds := t.Seconds(now)
 	for range min(work, int(t.slots)) {
 		if t.expiry >= t.slots {
 			t.expiry = 0
 		}
 		e := t.slot(t.expiry)
 		t.expiry++
-		if e.used && t.Expired(now, e) {
+		if e.used && t.Expired(seconds, e) {
 			if before != nil {
 				before(e)
 			}
--- a/core/bvroute/explain.go
+++ b/core/bvroute/explain.go
@@ -41,7 +41,7 @@
 	if r.view == nil {
 		return Explanation{Problem: ReasonNotConfigured.String()}
 	}
-	return r.explain(now, r.view.hasher.Key(t), r.view.services[address{unmap(t.Destination), t.Protocol}])
+	return r.explain(now, r.view.hasher.Key(t), r.view.services[addressOf(t.Destination, t.Protocol)])
 }
 
 // ExplainKey tells what this node does with packets of a flow that it has an
@@ -94,7 +94,7 @@
 		Upstream:   r.view.upstreams[bvconfig.UpstreamID(e.Upstream)].String(),
 		State:      e.State.String(),
 		OwnerEntry: e.Has(bvflow.FlagOwner), Exception: e.Has(bvflow.FlagException),
-		Adopted: e.Has(bvflow.FlagAdopted), Idle: r.idle(now, e),
+		Adopted: e.Has(bvflow.FlagAdopted), Idle: age(r.table.Seconds(now), e.Seen),
 		ReplicatedAt: time.Duration(e.Replicated) * time.Second,
 	}
 }
--- a/core/bvroute/place.go
+++ b/core/bvroute/place.go
@@ -107,7 +107,7 @@
 	}
 	c.uncount(c.now, e)
 	e.Upstream, e.State, e.Flags = uint64(t.id), bvflow.StateOpening, bvflow.FlagOwner
-	e.Seen, e.Replicated = c.table.Seconds(c.now), max(c.table.Seconds(c.now), 1)
+	e.Seen, e.Replicated = c.seconds, max(c.seconds, 1)
 	if c.datagram() {
 		e.Flags |= bvflow.FlagDatagram
 	}
@@ -137,7 +137,7 @@
 	if t := c.anyTarget(); t != nil {
 		e.Upstream = uint64(t.id)
 	}
-	e.State, e.Flags, e.Seen = bvflow.StateRefused, bvflow.FlagOwner|bvflow.FlagException, c.table.Seconds(c.now)
+	e.State, e.Flags, e.Seen = bvflow.StateRefused, bvflow.FlagOwner|bvflow.FlagException, c.seconds
 	return c.sendRefusal(e, ReasonNoCapacity)
 }
 
--- a/core/bvroute/record.go
+++ b/core/bvroute/record.go
@@ -90,7 +90,7 @@
 	if !c.enabled(tombstones) || !c.enabled(openingWindow) {
 		return ReasonNone
 	}
-	recent := c.idle(c.now, e) <= c.options.OpeningWindow
+	recent := c.idle(e) <= c.options.OpeningWindow
 	switch {
 	case rec.Kind == RecordRefused:
 		if e.State != bvflow.StateRefused && recent {
@@ -123,7 +123,7 @@
 		c.uncount(c.now, e)
 	}
 	set(e, rec.Kind, rec.Upstream)
-	e.Seen = c.table.Seconds(c.now)
+	e.Seen = c.seconds
 	e.Replicated = max(e.Seen, 1)
 	return true
 }
@@ -145,10 +145,10 @@
 // [bvflow.ErrTableFull] if there is no room.
 func (r *Router) Store(now time.Time, k bvflow.Key, kind RecordKind, u bvconfig.UpstreamID) error {
 	e := r.table.Lookup(k)
-	if e != nil && !r.table.Expired(now, e) {
+	if e != nil && !r.table.Expired(r.table.Seconds(now), e) {
 		own := e.Has(bvflow.FlagOwner) && !e.Has(bvflow.FlagAdopted)
 		fresh := e.Replicated != 0 &&
-			time.Duration(r.table.Seconds(now)-e.Replicated)*time.Second <= r.options.OpeningWindow
+			age(r.table.Seconds(now), e.Replicated) <= r.options.OpeningWindow
 		if own || fresh || e.Upstream == uint64(u) && e.Has(bvflow.FlagOwner) {
 			return nil
 		}
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -18,6 +18,7 @@
 type passage struct {
 	*Router
 	now     time.Time
+	seconds uint32 // Of now, since the table's epoch.
 	packet  bvflow.Packet
 	trail   Trail
 	key     bvflow.Key
@@ -35,11 +36,14 @@
 	if r.view == nil {
 		return drop(ReasonNotConfigured)
 	}
-	s := r.view.services[address{unmap(p.Destination), p.Protocol}]
+	s := r.view.services[addressOf(p.Destination, p.Protocol)]
 	if s == nil {
 		return drop(ReasonUnknownService)
 	}
-	c := passage{Router: r, now: now, packet: p, trail: trail, key: r.view.hasher.Key(p.Tuple), service: s}
+	c := passage{
+		Router: r, now: now, seconds: r.table.Seconds(now), packet: p, trail: trail,
+		key: r.view.hasher.Key(p.Tuple), service: s,
+	}
 	if record.Kind != RecordNone {
 		return c.record(record)
 	}
@@ -64,7 +68,7 @@
 	if e == nil {
 		return nil
 	}
-	if c.table.Expired(c.now, e) {
+	if c.table.Expired(c.seconds, e) {
 		c.uncount(c.now, e)
 		c.table.Delete(c.key)
 		return nil
@@ -94,8 +98,10 @@
 }
 
 // idle returns the time since the entry's last packet.
-func (r *Router) idle(now time.Time, e *bvflow.Entry) time.Duration {
-	return time.Duration(int64(r.table.Seconds(now))-int64(e.Seen)) * time.Second
+func (c *passage) idle(e *bvflow.Entry) time.Duration { return age(c.seconds, e.Seen) }
+
+func age(now, then uint32) time.Duration {
+	return time.Duration(int64(now)-int64(then)) * time.Second
 }
 
 func (c *passage) findOwner() *node {
@@ -118,7 +124,7 @@
 // once, since the owner would come back to ask it.
 func (c *passage) mayUse(e *bvflow.Entry) bool {
 	closed := e.State == bvflow.StateClosed || e.State == bvflow.StateClosing && c.opening()
-	if e.Has(bvflow.FlagOwner) && !closed && c.idle(c.now, e) <= c.options.OpeningWindow {
+	if e.Has(bvflow.FlagOwner) && !closed && c.idle(e) <= c.options.OpeningWindow {
 		return true
 	}
 	if c.selfOwns() {
@@ -293,20 +299,19 @@
 	if e.State == bvflow.StateClosed && !c.runsTwice() {
 		return true
 	}
-	return c.idle(c.now, e) > c.options.OpeningWindow
+	return c.idle(e) > c.options.OpeningWindow
 }
 
 // advance notes the packet in its entry.
 func (c *passage) advance(e *bvflow.Entry) {
-	seconds := c.table.Seconds(c.now)
-	e.Seen = seconds
+	e.Seen = c.seconds
 	switch c.packet.Phase {
 	case bvflow.PhaseEstablished:
 		if e.State == bvflow.StateOpening {
 			e.State = bvflow.StateEstablished
 		}
 	case bvflow.PhaseDatagram:
-		if e.State == bvflow.StateOpening && seconds-e.Replicated > uint32(datagramGrace/time.Second) {
+		if e.State == bvflow.StateOpening && age(c.seconds, e.Replicated) > datagramGrace {
 			e.State = bvflow.StateEstablished
 		}
 	case bvflow.PhaseClosing:
@@ -327,14 +332,13 @@
 	if !e.Has(bvflow.FlagOwner|bvflow.FlagException) || !c.enabled(replication) {
 		return c.toUpstream(t)
 	}
-	seconds := c.table.Seconds(c.now)
 	first := e.State == bvflow.StateOpening || c.opening()
-	due := e.Replicated == 0 || time.Duration(seconds-e.Replicated)*time.Second >= c.options.IdleTimeout/4
+	due := e.Replicated == 0 || age(c.seconds, e.Replicated) >= c.options.IdleTimeout/4
 	if !first && (!due || !c.enabled(refreshing)) {
 		return c.toUpstream(t)
 	}
 	if due {
-		e.Replicated = max(seconds, 1)
+		e.Replicated = max(c.seconds, 1)
 	}
 	rec := c.view.replicas(c.service, c.key)
 	rec.Kind, rec.Upstream = RecordPlaced, t.id
--- a/core/bvroute/view.go
+++ b/core/bvroute/view.go
@@ -14,10 +14,16 @@
 	"github.com/zeebo/xxh3"
 )
 
-// address is a service address as packets carry it.
+// address is a service address, with IPv4 in its IPv6-mapped form. It has no
+// pointers and no gaps, so that it hashes fast.
 type address struct {
-	netip.AddrPort
-	protocol bvflow.Protocol
+	ip       [16]byte
+	port     uint16
+	protocol uint16
+}
+
+func addressOf(a netip.AddrPort, p bvflow.Protocol) address {
+	return address{a.Addr().As16(), a.Port(), uint16(p)}
 }
 
 // target is a known upstream.
@@ -190,7 +196,7 @@
 		}
 		v.byName[s.Name] = c
 		for _, a := range s.Addresses {
-			v.services[address{unmap(a), s.Protocol}] = c
+			v.services[addressOf(a, s.Protocol)] = c
 		}
 	}
 }
@@ -199,8 +205,6 @@
 	return picks{zones: make([]bvpick.Candidate, zones), lists: make([]list, zones)}
 }
 
-func unmap(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
-
 func (v *view) addUpstreams(p Picture) {
 	holders := map[netip.AddrPort]bvconfig.UpstreamID{}
 	for _, u := range p.Config.Upstreams {
