--- a/core/bvroute/sweep.go
+++ b/core/bvroute/sweep.go
@@ -56,7 +56,7 @@
 
 func (r *Router) handover(now time.Time, e *bvflow.Entry) (h Handover, ok bool) {
 	t := r.view.upstreams[bvconfig.UpstreamID(e.Upstream)]
-	if t == nil || t.obstacle != ReasonNone && e.State != bvflow.StateRefused || t.service == nil || r.table.Expired(now, e) {
+	if t == nil || t.obstacle != ReasonNone && e.State != bvflow.StateRefused || t.service == nil || r.table.Expired(r.table.Seconds(now), e) {
 		return h, false
 	}
 	// A new base revision turns flows into exceptions that have been
@@ -120,11 +120,13 @@
 	v := r.view.with(peer)
 	next, done = r.table.Range(cursor, work, func(e *bvflow.Entry) bool {
 		t := v.upstreams[bvconfig.UpstreamID(e.Upstream)]
-		if t == nil || t.service == nil || !e.Has(bvflow.FlagException) || r.table.Expired(now, e) {
+		if t == nil || t.service == nil || !e.Has(bvflow.FlagException) || r.table.Expired(r.table.Seconds(now), e) {
 			return true
 		}
 		m := v.members(t.service, e.Key)
-		if !m.contains(peer) || !e.Has(bvflow.FlagOwner) && m.firstBut(peer) != r.self {
+		// All members answer, not only the first: that one may have joined so
+		// recently that it lacks the record.
+		if !m.contains(peer) || !e.Has(bvflow.FlagOwner) && !m.contains(r.self) {
 			return true
 		}
 		h := newHandover(e)
@@ -136,15 +138,6 @@
 	return into, next, done
 }
 
-func (m *members) firstBut(n bvconfig.NodeID) bvconfig.NodeID {
-	for _, id := range m.ids[:m.count] {
-		if id != n {
-			return id
-		}
-	}
-	return 0
-}
-
 // with returns the view as it will be when peer is active.
 func (v *view) with(peer bvconfig.NodeID) *view {
 	n, ok := v.peers[peer]
