Answer a joining peer with records of upstreams not known yet

Change: such records go to every joining peer.

Ruled out: the service in each record, which adds bytes to every record for the seconds in which configurations differ.

--- a/core/bvroute/sweep.go
+++ b/core/bvroute/sweep.go
@@ -132,14 +132,7 @@
 	}
 	v := r.view.with(peer)
 	next, done = r.table.Range(cursor, work, func(e *bvflow.Entry) bool {
-		t := v.upstreams[bvconfig.UpstreamID(e.Upstream)]
-		if t == nil || t.service == nil || !e.Has(bvflow.FlagException) || r.table.Expired(r.table.Seconds(now), e) {
-			return true
-		}
-		m := v.members(t.service, e.Key)
-		// All members answer, not only the first: that one may have joined so
-		// recently that it lacks the record.
-		if !m.contains(peer) || !e.Has(bvflow.FlagOwner) && !m.contains(r.self) {
+		if !e.Has(bvflow.FlagException) || r.table.Expired(r.table.Seconds(now), e) || !r.concernsPeer(v, e, peer) {
 			return true
 		}
 		h := newHandover(e)
@@ -151,6 +144,22 @@
 	return into, next, done
 }
 
+// concernsPeer reports whether peer needs the entry in the view v. All members
+// answer, not only the first: that one may have joined so recently that it
+// lacks the record. An entry of an upstream that only a newer configuration
+// has may concern every peer, since its service is not known here.
+func (r *Router) concernsPeer(v *view, e *bvflow.Entry, peer bvconfig.NodeID) bool {
+	t := v.upstreams[bvconfig.UpstreamID(e.Upstream)]
+	if t == nil {
+		return true
+	}
+	if t.service == nil {
+		return false
+	}
+	m := v.members(t.service, e.Key)
+	return m.contains(peer) && (e.Has(bvflow.FlagOwner) || m.contains(r.self))
+}
+
 // with returns the view as it will be when peer is active.
 func (v *view) with(peer bvconfig.NodeID) *view {
 	n, ok := v.peers[peer]
