Run the demo with each fault as part of the tests

The demo ran only by hand, and two runs could meet on the same loopback addresses, because a random network was not reserved.

make demos runs the demo without a fault and with each fault; make test calls it. A run locks its loopback network and takes a random range of ports, so that neither another demo nor a process that listens on all addresses is in its way. FAULT=stop is new: upstreams drain and a balancer is stopped. A process that must end by itself has to end with status 0, and a fault that lasts longer than the traffic fails the run.

Before: five runs by hand. Ruled out: a file for each random network, since the files would pile up.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 FAULT ?=
 
-.PHONY: test lint demo build bench slopes
+.PHONY: test lint demo demos build bench slopes
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -15,6 +15,10 @@
 
 test: lint
 	$(GO) test -race ./...
+	$(MAKE) demos
 
 demo: build
 	./scripts/demo.sh "$(FAULT)"
+
+demos: build
+	./scripts/demos.sh
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,12 +9,13 @@
 #   demo.sh freeze    a balancer is frozen while an upstream is replaced and a
 #                     zone leaves, and resumes with what it knew before
 #   demo.sh platform  the platform goes silent with its connections open
+#   demo.sh stop      upstreams drain and a balancer is stopped, as planned
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 fault="${1:-}"
-case "$fault" in "" | kill | zone | freeze | platform) ;; *)
-	echo "demo: unknown fault \"$fault\"; one of kill, zone, freeze, platform" >&2
+case "$fault" in "" | kill | zone | freeze | platform | stop) ;; *)
+	echo "demo: unknown fault \"$fault\"; one of kill, zone, freeze, platform, stop" >&2
 	exit 2
 	;;
 esac
@@ -24,9 +25,14 @@
 run="$(mktemp -d)"
 declare -A pids=()
 
-# Each process has a loopback address of its own; the random part keeps two
-# demos on one machine apart.
-net="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
+# Each process has a loopback address of its own in a network that no other
+# demo uses. The first port varies as well, because a process that listens on
+# all addresses occupies its port in every loopback network; it is below the
+# range from which the kernel takes ports.
+. scripts/network.sh
+claim_network
+port=$((RANDOM % 1500 * 10 + 10000))
+tunnel=$port peer=$((port + 1)) control=$((port + 2)) admin=$((port + 3)) http=$((port + 4))
 platform="$net.1" fabric="$net.2" caller="$net.3"
 
 cleanup() {
@@ -55,12 +61,23 @@
 	pids[$name]=$!
 }
 
-# stopped NAME: waits for the end of a process.
+# stopped NAME: waits for the end of a process that was killed.
 stopped() {
 	wait "${pids[$1]}" 2>/dev/null || true
 	unset "pids[$1]"
 }
 
+# ended NAME: waits for the end of a process, which must be without an error.
+ended() {
+	local code=0
+	wait "${pids[$1]}" || code=$?
+	unset "pids[$1]"
+	if [ "$code" -ne 0 ]; then
+		echo "failed: $1 ended with status $code"
+		failed=1
+	fi
+}
+
 # Names carry the numbers that give the addresses.
 declare -A address=(
 	[lb-a-1]="$net.11" [lb-a-2]="$net.12" [lb-a-3]="$net.13" [lb-b-1]="$net.21" [lb-b-2]="$net.22" [lb-c-1]="$net.31"
@@ -72,16 +89,16 @@
 declare -A vni=([bench]=101 [certificate]=102)
 
 zone_of() { local rest="${1#*-}"; echo "${rest%%-*}"; }
-health() { echo "${address[$1]}:8080"; }
+health() { echo "${address[$1]}:$http"; }
 join() { local IFS=,; echo "$*"; }
 health_list() { local l=(); for n in "$@"; do l+=("$(health "$n")"); done; join "${l[@]}"; }
 
 upstream_json() {
-	echo "{\"name\":\"$1\",\"service\":\"${1%%-*}\",\"zone\":\"$(zone_of "$1")\",\"tunnel\":\"${address[$1]}:6081\"," \
+	echo "{\"name\":\"$1\",\"service\":\"${1%%-*}\",\"zone\":\"$(zone_of "$1")\",\"tunnel\":\"${address[$1]}:$tunnel\"," \
 		"\"health\":\"$(health "$1")\",\"weight\":100,\"slots\":4,\"connections\":2000}"
 }
 balancer_json() {
-	echo "{\"name\":\"$1\",\"zone\":\"$(zone_of "$1")\",\"tunnel\":\"${address[$1]}:6082\",\"control\":\"${address[$1]}:7001\"}"
+	echo "{\"name\":\"$1\",\"zone\":\"$(zone_of "$1")\",\"tunnel\":\"${address[$1]}:$peer\",\"control\":\"${address[$1]}:$control\"}"
 }
 service_json() {
 	echo "{\"name\":\"$1\",\"vni\":${vni[$1]},\"addresses\":[\"$2\"],\"protocol\":\"tcp\",\"class\":\"$3\",\"idempotent\":$4," \
@@ -91,7 +108,7 @@
 start_upstream() {
 	local service="${1%%-*}"
 	start "$1" "$standin" upstream --name "$1" --service "$service" --vni "${vni[$service]}" \
-		--tunnel "${address[$1]}:6081" --health "$(health "$1")" --caller "$caller:6081" \
+		--tunnel "${address[$1]}:$tunnel" --health "$(health "$1")" --caller "$caller:$tunnel" \
 		--cold-for 3s --cold-rate 20 --counts-file "$run/counts/$1.json"
 	"$standin" await "http://$(health "$1")/health"
 }
@@ -102,18 +119,18 @@
 		node: $1
 		zone: $(zone_of "$1")
 		group: serena
-		listen: {fabric: "$a:6081", peer: "$a:6082", control: "$a:7001", admin: "$a:9001"}
-		fabric: {return: "$fabric:6082"}
-		platform: {addresses: ["$platform:8080"]}
+		listen: {fabric: "$a:$tunnel", peer: "$a:$peer", control: "$a:$control", admin: "$a:$admin"}
+		fabric: {return: "$fabric:$peer"}
+		platform: {addresses: ["$platform:$http"]}
 		keys: {peer: "$run/peer.key"}
 	YAML
 	start "$1" "$balsamvane" run --settings "$run/$1.yaml"
 }
-balancer_active() { "$standin" await "http://${address[$1]}:9001/status" --match '"state": "active"'; }
+balancer_active() { "$standin" await "http://${address[$1]}:$admin/status" --match '"state": "active"'; }
 
 # spray NAME…: the balancers to which the fabric sends packets.
 spray() {
-	for n in "$@"; do echo "${address[$n]}:6081"; done >"$run/balancers.new"
+	for n in "$@"; do echo "${address[$n]}:$tunnel"; done >"$run/balancers.new"
 	mv "$run/balancers.new" "$run/balancers"
 }
 
@@ -165,7 +182,7 @@
 	kill -KILL "${pids[lb-a-1]}"
 	stopped lb-a-1
 	start_balancer lb-a-3
-	"$standin" await "http://${address[lb-a-3]}:9001/status"
+	"$standin" await "http://${address[lb-a-3]}:$admin/status"
 	spray lb-a-2 lb-a-3 lb-b-1 lb-b-2
 }
 
@@ -173,10 +190,10 @@
 	local list since
 	list="$(health_list "${zone_b[@]}")"
 	since="$(publish 2 --out-zone b)"
-	"$standin" post "http://$caller:8080/zone?state=out&health=$list"
+	"$standin" post "http://$caller:$http/zone?state=out&health=$list"
 	quiet_ms="$("$standin" quiet --since "$since" "$list")"
 	publish 3 >/dev/null
-	"$standin" post "http://$caller:8080/zone?state=in&health=$list"
+	"$standin" post "http://$caller:$http/zone?state=in&health=$list"
 }
 
 fault_freeze() {
@@ -192,36 +209,54 @@
 	kill -CONT "${pids[lb-a-1]}"
 }
 
+# A planned stop: what leaves gets no new work once all balancers know, and
+# ends when its work is done. The fabric sends to the balancer until its end.
+fault_stop() {
+	publish 2 --leaving lb-a-1,bench-a-1,certificate-a-1 >/dev/null
+	for n in "${balancers[@]}"; do "$standin" await "http://${address[$n]}:$admin/status" --match '"revision": 2'; done
+	kill -TERM "${pids[lb-a-1]}" "${pids[bench-a-1]}" "${pids[certificate-a-1]}"
+	ended certificate-a-1
+	ended lb-a-1
+	spray lb-a-2 lb-b-1 lb-b-2
+}
+
+failed=0
 write_files
 publish 1 >/dev/null
-start platform "$standin" platform --directory "$run/platform" --listen "$platform:8080" --control "$platform:8081"
-"$standin" await "http://$platform:8080/v1/values/groups/serena/manifest"
+start platform "$standin" platform --directory "$run/platform" --listen "$platform:$http" --control "$platform:$control"
+"$standin" await "http://$platform:$http/v1/values/groups/serena/manifest"
 spray "${balancers[@]}"
-start fabric "$standin" fabric --listen "$fabric:6081" --return "$fabric:6082" --caller "$caller:6081" --balancers "$run/balancers"
+start fabric "$standin" fabric --listen "$fabric:$tunnel" --return "$fabric:$peer" --caller "$caller:$tunnel" --balancers "$run/balancers"
 for n in "${upstreams[@]}"; do start_upstream "$n"; done
 for n in "${balancers[@]}"; do start_balancer "$n"; done
 for n in "${balancers[@]}"; do balancer_active "$n"; done
 
-start caller "$standin" caller --services "$run/services.yaml" --listen "$caller:6081" --fabric "$fabric:6081" \
-	--control "$caller:8080" --duration 20s --warm-up 6s --counts-dir "$run/counts" --report "$run/report.json"
-"$standin" await "http://$caller:8080/reached?whole=120&feeds=24"
+start caller "$standin" caller --services "$run/services.yaml" --listen "$caller:$tunnel" --fabric "$fabric:$tunnel" \
+	--control "$caller:$http" --duration 20s --warm-up 6s --counts-dir "$run/counts" --report "$run/report.json"
+"$standin" await "http://$caller:$http/reached?whole=120&feeds=24"
 quiet_ms=-1
 resumed=""
 case "$fault" in
 kill) fault_kill ;;
 zone) fault_zone ;;
 freeze) fault_freeze ;;
-platform) "$standin" post "http://$platform:8081/mode?mode=silent" ;;
+stop) fault_stop ;;
+platform) "$standin" post "http://$platform:$control/mode?mode=silent" ;;
 esac
-stopped caller
+# A fault that ends after the traffic would prove nothing.
+if ! kill -0 "${pids[caller]}" 2>/dev/null; then
+	echo "failed: the traffic ended before the fault"
+	failed=1
+fi
+ended caller
 
-status=0
 if [ -n "$resumed" ]; then
 	late="$("$standin" quiet --since "$resumed" --silence 0s "$(health certificate-c-1)")"
 	if [ "$late" -gt 0 ]; then
 		echo "failed: the zone that left had a packet $late ms after the frozen balancer resumed"
-		status=1
+		failed=1
 	fi
 fi
-"$standin" verdict --report "$run/report.json" --fault "$fault" --zone-quiet-ms "$quiet_ms" || status=1
-exit "$status"
+if [ "$fault" = stop ]; then ended bench-a-1; fi
+"$standin" verdict --report "$run/report.json" --fault "$fault" --zone-quiet-ms "$quiet_ms" || failed=1
+exit "$failed"
--- /dev/null
+++ b/scripts/network.sh
@@ -0,0 +1,17 @@
+# Sourced by scripts that start processes on loopback addresses.
+
+# claim_network sets net to the first three bytes of a loopback network that
+# no other script on the machine uses. The lock is held by the script and the
+# processes that it starts, and so ends with the last of them.
+claim_network() {
+	local directory slot
+	directory="${TMPDIR:-/tmp}/balsamvane-networks-$UID"
+	mkdir -p "$directory"
+	while true; do
+		slot=$((RANDOM % 200 + 20))
+		exec {network_lock}>"$directory/$slot"
+		if flock --nonblock "$network_lock"; then break; fi
+		exec {network_lock}>&-
+	done
+	net="127.77.$slot"
+}
