Let a joining balancer hear its peers before it becomes active

Cause: a balancer that joined became active once it was in sync with the active peers that it had heard. Heartbeats from other zones take up to 1 s, so it often had heard its own zone only, took the other zone for dead and placed that zone's new flows in its own. The balancers of the other zone were not members of these flows' replica sets and sent the next packets to the base pick, whose VM answered with RST.

Change: a joining balancer waits until it has heard each published peer, or for as long as a peer that dies may be silent.

The new test breaks flows when the wait is switched off.

Ruled out: lost packets and the stand-ins (a trace of all decisions shows the new balancer place the flow with the other zone empty), and faster heartbeats across zones, which cost bytes and only narrow the gap.

--- a/core/bvmember/bvmember.go
+++ b/core/bvmember/bvmember.go
@@ -96,9 +96,10 @@
 
 type peer struct {
 	Peer
-	heard time.Time // Of the last heartbeat.
-	due   time.Time // Of the next heartbeat to it.
-	rank  uint64
+	listed time.Time // When it was first published.
+	heard  time.Time // Of the last heartbeat.
+	due    time.Time // Of the next heartbeat to it.
+	rank   uint64
 }
 
 // Target is an address to send a heartbeat or a request to.
@@ -187,7 +188,7 @@
 		}
 		p := old[id]
 		if p == nil {
-			p = &peer{Peer: Peer{Node: id}, due: now}
+			p = &peer{Peer: Peer{Node: id}, listed: now, due: now}
 		}
 		p.Name, p.Zone, p.Tunnel, p.Control = b.Name, b.Zone, b.Tunnel, b.Control
 		p.rank = rank(m.zone, id)
@@ -248,6 +249,19 @@
 	return true
 }
 
+// Met reports whether this node knows of each published peer whether it is
+// alive: it has heard the peer, or has waited for it as long as for a peer that
+// dies. Until then a zone may seem to be without active balancers only because
+// none of them has been heard.
+func (m *Members) Met(now time.Time) bool {
+	for _, p := range m.order {
+		if p.Incarnation == 0 && now.Sub(p.listed) < time.Duration(m.options.Missed)*m.interval(p) {
+			return false
+		}
+	}
+	return true
+}
+
 // LowestBase returns the lowest base revision of this node and the peers that
 // are alive, so that older lists can be dropped.
 func (m *Members) LowestBase() uint64 {
--- a/core/bvnode/bvnode.go
+++ b/core/bvnode/bvnode.go
@@ -78,6 +78,7 @@
 	refreshAfterPause safeguard = 1 << iota
 	recordTransfer
 	learnFromPeers
+	meetPeers
 )
 
 func (o Options) withDefaults() Options {
--- /dev/null
+++ b/core/bvnode/join_test.go
@@ -0,0 +1,48 @@
+package bvnode
+
+import (
+	"testing"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvmember"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestPromise1JoinBeforeOtherZoneIsHeard guards against a joining balancer that
+// becomes active before it has heard a balancer of another zone: it took that
+// zone for dead, placed its flows in its own zone, and the balancers there,
+// which did not learn of it, sent the next packets elsewhere.
+func TestPromise1JoinBeforeOtherZoneIsHeard(t *testing.T) {
+	run := func(disabled safeguard) int {
+		g := newGroup(t, sample(1, 2, 3), disabled)
+		g.run(8 * time.Second)
+		g.requireActive()
+		next := sample(2, 2, 3)
+		next.Balancers = append(next.Balancers, bvconfig.Balancer{
+			Name: "lb-a2", Zone: "a", Tunnel: address(1, 2), Control: address(2, 2),
+		})
+		g.platform = &next
+		// The first heartbeats to the new balancer come before it runs.
+		g.run(3 * TickInterval)
+		g.start("lb-a2", "a")
+		broken := 0
+		for f := range 300 {
+			if f%10 == 0 {
+				g.run(TickInterval)
+			}
+			u, _ := g.send("lb-a2", packet(f, bvflow.PhaseOpening))
+			if v := g.spray(packet(f, bvflow.PhaseEstablished)); u != 0 && v != u {
+				broken++
+			}
+		}
+		g.run(5 * time.Second)
+		require.Equal(t, bvmember.StateActive, g.nodes["lb-a2"].members.State())
+		return broken
+	}
+	assert.Zero(t, run(0))
+	assert.NotZero(t, run(meetPeers))
+}
--- a/core/bvnode/tick.go
+++ b/core/bvnode/tick.go
@@ -131,9 +131,10 @@
 	return as
 }
 
-// activate makes a joining node active once it has the exceptions of all
-// active peers and runs a configuration as new as theirs. A zone without an
-// active node is handled by the membership.
+// activate makes a joining node active once it has heard its peers, has the
+// exceptions of all active ones and runs a configuration as new as theirs. A
+// node that has not heard another zone yet would take the keys of that zone for
+// its own. A zone without an active node is handled by the membership.
 func (n *Node) activate(now time.Time) {
 	if n.members.State() != bvmember.StateJoining || n.knownSince.IsZero() || !n.members.Synced() {
 		return
@@ -141,6 +142,9 @@
 	if len(n.members.Active(n.options.Zone)) == 0 || !n.baseKnown() {
 		return
 	}
+	if n.enabled(meetPeers) && !n.members.Met(now) {
+		return
+	}
 	v := n.store.Version()
 	for _, p := range n.members.Peers() {
 		if p.Alive && p.State == bvmember.StateActive && p.Version.Compare(v) > 0 {
