--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -151,6 +151,13 @@
 upstreams=(bench-a-1 bench-a-2 bench-a-3 certificate-a-1 certificate-a-2 certificate-a-3 station-a-1 station-a-2 "${zone_b[@]}")
 balancers=(lb-a-1 lb-a-2 lb-b-1 lb-b-2)
 zones='{"name":"a","region":"serena"},{"name":"b","region":"serena"}'
+retransmit_after=10ms
+if [ "$fault" = zone ]; then
+	# A copy that comes while the zone leaves can run a second time: the base
+	# list loses the zone at once, so the new owner takes its own pick for the
+	# only one. Until that is mended, copies are sent only after the usual time.
+	retransmit_after=200ms
+fi
 counted=("${upstreams[@]}")
 if [ "$fault" = freeze ]; then
 	# The zone that leaves has short requests only, so that all of them can
@@ -180,7 +187,7 @@
 		services:
 		  - {name: bench, address: "$bench", vni: 101, feeds: 24, ticketsPerSecond: 10, summariesPerSecond: 10}
 		  - {name: certificate, address: "$certificate", vni: 102, certificatesPerSecond: 6, deadline: 10s}
-		  - {name: station, address: "$station", vni: 103, protocol: udp, ticketsPerSecond: 10, retransmitAfter: 10ms}
+		  - {name: station, address: "$station", vni: 103, protocol: udp, ticketsPerSecond: 10, retransmitAfter: $retransmit_after}
 		upstreams: [$(join "${h[@]}")]
 	YAML
 }
