Keep joining balancers, returned zones and spreading configurations from moving flows

Cause: tables of faults over several nodes showed four ways in which a flow moved although a reachable balancer knew it. (1) A balancer restarted under its name got packets from peers that still took it for the owner, knew no peer to ask and sent them to their base pick. (2) A replacement became active without the exceptions of a peer whose configuration did not list it yet. (3) Entries from before an outage of a zone decided again when the zone was back. (4) While a configuration that takes a zone out spreads, owners in that zone did not get the exceptions of flows whose base zone it had been.

Change: a joining node drops mid-flow packets that no peer decides; a new node waits up to 10 s for published peers that it has not heard and that nobody takes for dead; entries of a zone that comes back are void but for copies of an opening with a request; while configurations differ, the owner in the former base zone is in the replica set. bvnode has further safeguards that tests switch off.

Ruled out: voiding entries by their time, since the table counts whole seconds and flows of the second in which a zone returns would be lost.

--- a/core/bvflow/table.go
+++ b/core/bvflow/table.go
@@ -31,6 +31,7 @@
 	FlagCounted                     // Counts as an open flow of its upstream.
 	FlagAdopted                     // Taken from the base pick in the middle of the flow.
 	FlagDatagram                    // UDP.
+	FlagVoid                        // The zone has been out of service since; only copies of the opening use the entry.
 )
 
 // Entry is what a balancer knows of a flow. Times are in seconds since the
--- a/core/bvmember/bvmember.go
+++ b/core/bvmember/bvmember.go
@@ -99,6 +99,8 @@
 	heard time.Time // Of the last heartbeat.
 	due   time.Time // Of the next heartbeat to it.
 	rank  uint64
+	// declared is true if another peer takes this one for dead.
+	declared bool
 }
 
 // Target is an address to send a heartbeat or a request to.
@@ -248,6 +250,18 @@
 	return true
 }
 
+// Unheard reports whether some published peer has not been heard yet and no
+// other peer takes it for dead. It may run a configuration that does not list
+// this node, and hold exceptions that this node needs.
+func (m *Members) Unheard() bool {
+	for _, p := range m.order {
+		if p.Incarnation == 0 && !p.declared {
+			return true
+		}
+	}
+	return false
+}
+
 // LowestBase returns the lowest base revision of this node and the peers that
 // are alive, so that older lists can be dropped.
 func (m *Members) LowestBase() uint64 {
--- a/core/bvmember/change.go
+++ b/core/bvmember/change.go
@@ -174,6 +174,11 @@
 // alive.
 func (m *Members) learn(now time.Time, p *peer, h Heartbeat) {
 	p.Version, p.BaseRevision = h.Version, h.BaseRevision
+	for _, d := range h.Dead {
+		if q := m.peers[d.Node]; q != nil {
+			q.declared = true
+		}
+	}
 	if h.PlatformAge < 0 || h.PlatformAge >= NoContact {
 		return
 	}
--- a/core/bvnode/bvnode.go
+++ b/core/bvnode/bvnode.go
@@ -44,6 +44,11 @@
 	// shareDelay is how long a new node leaves its share of the limits unused
 	// when some peer does not run a revision that lists it.
 	shareDelay = 60 * time.Second
+	// unheardLimit bounds how long a new node waits for published peers that it
+	// has not heard. A peer with an earlier configuration does not know the new
+	// node, and may hold exceptions that it needs; configurations are in force
+	// everywhere within seconds.
+	unheardLimit = 10 * time.Second
 	// expireSlots is the number of table slots looked at in a tick. A table of
 	// 500,000 flows is gone through in 100 s.
 	expireSlots = 512
@@ -72,14 +77,6 @@
 	disabled safeguard
 }
 
-type safeguard uint8
-
-const (
-	refreshAfterPause safeguard = 1 << iota
-	recordTransfer
-	learnFromPeers
-)
-
 func (o Options) withDefaults() Options {
 	if o.MaxFlows == 0 {
 		o.MaxFlows = 500_000
@@ -158,14 +155,15 @@
 	return n
 }
 
-func (n *Node) enabled(s safeguard) bool { return n.options.disabled&s == 0 }
-
 // Packet decides on one packet. trail and record are zero for a packet that
 // comes from the fabric.
 func (n *Node) Packet(now time.Time, p bvflow.Packet, trail bvroute.Trail, record bvroute.Record) bvroute.Decision {
 	if n.enabled(refreshAfterPause) && (n.members.Overslept(now) || now.Before(n.refresh.until)) {
 		return bvroute.Decision{Verdict: bvroute.VerdictDrop, Reason: bvroute.ReasonPaused}
 	}
+	if record.Kind == bvroute.RecordRefused && !n.enabled(refusalRecords) {
+		return bvroute.Decision{Verdict: bvroute.VerdictRefuse, Reason: bvroute.ReasonNoCapacity}
+	}
 	return n.router.Route(now, p, trail, record)
 }
 
--- a/core/bvnode/picture.go
+++ b/core/bvnode/picture.go
@@ -21,7 +21,10 @@
 // offer takes a configuration. One that fails its checks leaves the accepted
 // one in force.
 func (n *Node) offer(now time.Time, c bvconfig.Config) {
-	before, _ := n.store.Current()
+	before, known := n.store.Current()
+	if known && !n.enabled(versionOrder) && c.Version != before.Version {
+		n.store = bvconfig.NewStore(bvconfig.StoreOptions{Group: n.options.Group})
+	}
 	switch o := n.store.Offer(c, now).(type) {
 	case bvconfig.Accepted:
 		n.accepted(now, before, c)
@@ -99,6 +102,7 @@
 	if !ok {
 		return nil
 	}
+	c = n.unguarded(c)
 	n.adoptLowestBase()
 	base, _ := n.store.Base()
 	n.members.SetVersion(c.Version, base.Config.Version.Revision)
@@ -117,10 +121,19 @@
 		}
 	}
 	n.router.SetPicture(now, p)
-	n.limiter.SetUpstreams(now, n.options.Zone, bvlimit.UpstreamsOf(c, n.options.Zone), n.store.Balancers(now, n.options.Zone))
+	n.limiter.SetUpstreams(now, n.options.Zone, bvlimit.UpstreamsOf(c, n.options.Zone), n.sharers(now))
 	return []Action{n.probes(c)}
 }
 
+// sharers returns the number of balancers that share the limits of the zone's
+// upstreams.
+func (n *Node) sharers(now time.Time) int {
+	if !n.enabled(fixedShares) {
+		return len(n.members.Active(n.options.Zone))
+	}
+	return n.store.Balancers(now, n.options.Zone)
+}
+
 func compareIDs(a, b bvconfig.UpstreamID) int {
 	if a < b {
 		return -1
--- a/core/bvnode/tick.go
+++ b/core/bvnode/tick.go
@@ -141,6 +141,9 @@
 	if len(n.members.Active(n.options.Zone)) == 0 || !n.baseKnown() {
 		return
 	}
+	if n.enabled(unheardPeers) && n.members.Unheard() && now.Sub(n.knownSince) < unheardLimit {
+		return
+	}
 	v := n.store.Version()
 	for _, p := range n.members.Peers() {
 		if p.Alive && p.State == bvmember.StateActive && p.Version.Compare(v) > 0 {
--- a/core/bvroute/bvroute.go
+++ b/core/bvroute/bvroute.go
@@ -24,6 +24,7 @@
 package bvroute
 
 import (
+	"slices"
 	"time"
 
 	"balsamvane/core/bvconfig"
@@ -72,6 +73,9 @@
 	certainRefusals                       // Only a long-time owner refuses.
 	handovers                             // Sweeps send records to new members.
 	openingWindow                         // Openings with payload are dropped after a change of owner.
+	outages                               // Entries from before a zone was taken out are void.
+	formerHomes                           // Owners in zones that have just left are replicas.
+	joinerDrops                           // A joining balancer adopts no flows.
 )
 
 // Router decides on packets.
@@ -132,6 +136,7 @@
 		r.started, r.baseline = now, v
 		return
 	}
+	r.voidReturned(old)
 	if !old.agreed {
 		r.disagreed = now
 	}
@@ -147,6 +152,31 @@
 	}
 }
 
+// voidReturned marks the entries of flows in zones that the new view brings
+// back into service. These flows were given up and may have been placed
+// elsewhere meanwhile. It goes through the whole table, which is done in
+// milliseconds, since zones rarely come back.
+func (r *Router) voidReturned(old *view) {
+	back := make([]bool, len(r.view.zones))
+	for i, z := range r.view.zones {
+		if j := old.zoneIndex(z.name); j >= 0 {
+			back[i] = old.zones[j].out && !z.out && r.enabled(outages)
+		}
+	}
+	if !slices.Contains(back, true) {
+		return
+	}
+	for cursor, done := uint64(0), false; !done; {
+		cursor, done = r.table.Range(cursor, 1<<16, func(e *bvflow.Entry) bool {
+			t := r.view.upstreams[bvconfig.UpstreamID(e.Upstream)]
+			if t != nil && t.zone >= 0 && back[t.zone] && e.State != bvflow.StateRefused {
+				e.Flags |= bvflow.FlagVoid
+			}
+			return true
+		})
+	}
+}
+
 // forgetRemovals drops what is known of base revisions that are not in use.
 func (r *Router) forgetRemovals(bases []Base) {
 	for revision := range r.removed {
--- a/core/bvroute/members.go
+++ b/core/bvroute/members.go
@@ -37,7 +37,8 @@
 // that rank above these. The owner in the home zone is the one that every
 // other balancer asks about a flow that it does not know, whatever its
 // configuration says; the second one there takes over when the first dies
-// while a new configuration changes the zone of the flow.
+// while a new configuration changes the zone of the flow. While the configurations
+// differ, the owner in a zone that has left the base list is a member as well.
 func (v *view) members(s *service, k bvflow.Key) (m members) {
 	_, placing := v.placing(s, k)
 	zones := [2]int{placing, v.home(s, k)}
@@ -45,6 +46,7 @@
 	for i, z := range zones {
 		seconds[i] = v.addFirstTwo(&m, k, z)
 	}
+	m.add(v.owner(k, s.formerHome(k)))
 	for i := 1; i < len(s.bases); i++ {
 		m.add(v.owner(k, s.bases[i].zone(k)))
 	}
--- a/core/bvroute/promise_test.go
+++ b/core/bvroute/promise_test.go
@@ -306,3 +306,16 @@
 		return n + f.broken(cs)
 	}}})
 }
+
+// TestPromise1ZoneReturns guards against entries from before an outage of
+// their zone, which move flows that have been placed elsewhere since.
+func TestPromise1ZoneReturns(t *testing.T) {
+	runPromise(t, []promiseCase{{"owners keep old entries", outages, func(f *fleet) int {
+		f.openMany(0, 600)
+		f.publish(zoneOut("b", true), 1)
+		f.pass(2 * time.Minute)
+		cs := f.openMany(0, 600) // The callers open the same flows again.
+		f.publish(zoneOut("b", false), 1)
+		return f.broken(cs)
+	}}})
+}
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -69,6 +69,12 @@
 		c.table.Delete(c.key)
 		return nil
 	}
+	// A copy of an opening with a request goes where the first one went.
+	if e.Has(bvflow.FlagVoid) && !(c.runsTwice() && (c.opening() || c.datagram()) && c.idle(c.now, e) <= c.options.OpeningWindow) {
+		c.uncount(c.now, e)
+		c.table.Delete(c.key)
+		return nil
+	}
 	if t := c.target(e); c.opening() && t != nil && t.service != c.service && c.enabled(serviceChecks) {
 		c.uncount(c.now, e)
 		c.table.Delete(c.key)
@@ -165,6 +171,11 @@
 	if c.opening() || c.datagram() && c.selfOwns() && c.owned(c.now, c.service, c.key) {
 		return c.place(nil)
 	}
+	// A balancer that has just been restarted gets packets from peers that
+	// still take it for the owner, while it does not know any peer to ask.
+	if c.view.state == bvmember.StateJoining && c.enabled(joinerDrops) {
+		return drop(ReasonNoOwner)
+	}
 	return c.adopt()
 }
 
--- a/core/bvroute/sweep.go
+++ b/core/bvroute/sweep.go
@@ -56,7 +56,7 @@
 
 func (r *Router) handover(now time.Time, e *bvflow.Entry) (h Handover, ok bool) {
 	t := r.view.upstreams[bvconfig.UpstreamID(e.Upstream)]
-	if t == nil || t.obstacle != ReasonNone && e.State != bvflow.StateRefused || t.service == nil || r.table.Expired(now, e) {
+	if t == nil || t.obstacle != ReasonNone && e.State != bvflow.StateRefused || t.service == nil || r.table.Expired(now, e) || e.Has(bvflow.FlagVoid) {
 		return h, false
 	}
 	// A new base revision turns flows into exceptions that have been
@@ -120,7 +120,7 @@
 	v := r.view.with(peer)
 	next, done = r.table.Range(cursor, work, func(e *bvflow.Entry) bool {
 		t := v.upstreams[bvconfig.UpstreamID(e.Upstream)]
-		if t == nil || t.service == nil || !e.Has(bvflow.FlagException) || r.table.Expired(now, e) {
+		if t == nil || t.service == nil || !e.Has(bvflow.FlagException) || r.table.Expired(now, e) || e.Has(bvflow.FlagVoid) {
 			return true
 		}
 		m := v.members(t.service, e.Key)
--- a/core/bvroute/view.go
+++ b/core/bvroute/view.go
@@ -73,6 +73,9 @@
 	// homes ranks all zones of the first base list, with those that have left
 	// it.
 	homes []bvpick.Candidate
+	// disagreed is true while some peer runs another configuration, which may
+	// still have the zones that have left the base list.
+	disagreed bool
 }
 
 // node is a balancer, possibly this one.
@@ -183,7 +186,7 @@
 		c := &service{
 			name: s.Name, vni: s.VNI, class: s.Class, idempotent: s.Idempotent,
 			current: newPicks(len(v.zones)), bases: make([]picks, len(p.Bases)),
-			homes: make([]bvpick.Candidate, len(v.zones)),
+			homes: make([]bvpick.Candidate, len(v.zones)), disagreed: !v.agreed && v.disabled&formerHomes == 0,
 		}
 		for i := range c.bases {
 			c.bases[i] = newPicks(len(v.zones))
@@ -395,8 +398,23 @@
 	return s.bases[0].upstreamIn(k, z), z
 }
 
+// formerHome returns the zone of k in the whole first base list, if that zone
+// has left the list and some peer may not know it yet. It is -1 otherwise.
+func (s *service) formerHome(k bvflow.Key) int {
+	if !s.disagreed || len(s.bases) == 0 {
+		return -1
+	}
+	if z := bvpick.Best(k, s.homes); z != s.bases[0].zone(k) {
+		return z
+	}
+	return -1
+}
+
 // exception reports whether u differs from the pick at any base in use.
 func (s *service) exception(k bvflow.Key, u bvconfig.UpstreamID) bool {
+	if s.formerHome(k) >= 0 {
+		return true
+	}
 	for i := range s.bases {
 		if t := s.bases[i].upstream(k); t == nil || t.id != u {
 			return true
