--- a/core/bvmember/bvmember.go
+++ b/core/bvmember/bvmember.go
@@ -97,13 +97,14 @@
 
 type peer struct {
 	Peer
-	listed time.Time // When it was first published.
-	heard  time.Time // Of the last heartbeat.
+	heard time.Time // Of the last heartbeat.
 	// accused is when an active node of the peer's own zone last took it for
 	// dead.
 	accused time.Time
 	due     time.Time // Of the next heartbeat to it.
 	rank    uint64
+	// declared is true if another peer takes this one for dead.
+	declared bool
 }
 
 // Target is an address to send a heartbeat or a request to.
@@ -192,7 +193,7 @@
 		}
 		p := old[id]
 		if p == nil {
-			p = &peer{Peer: Peer{Node: id}, listed: now, due: now}
+			p = &peer{Peer: Peer{Node: id}, due: now}
 		}
 		p.Name, p.Zone, p.Tunnel, p.Control = b.Name, b.Zone, b.Tunnel, b.Control
 		p.rank = rank(m.zone, id)
@@ -253,17 +254,16 @@
 	return true
 }
 
-// Met reports whether this node knows of each published peer whether it is
-// alive: it has heard the peer, or has waited for it as long as for a peer that
-// dies. Until then a zone may seem to be without active balancers only because
-// none of them has been heard.
-func (m *Members) Met(now time.Time) bool {
+// Unheard reports whether some published peer has not been heard yet and no
+// other peer takes it for dead. It may run a configuration that does not list
+// this node, and hold exceptions that this node needs.
+func (m *Members) Unheard() bool {
 	for _, p := range m.order {
-		if p.Incarnation == 0 && now.Sub(p.listed) < time.Duration(m.options.Missed)*m.interval(p) {
-			return false
+		if p.Incarnation == 0 && !p.declared {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // LowestBase returns the lowest base revision of this node and the peers that
--- a/core/bvmember/change.go
+++ b/core/bvmember/change.go
@@ -187,7 +187,12 @@
 func (m *Members) learn(now time.Time, p *peer, h Heartbeat) {
 	p.Version, p.BaseRevision = h.Version, h.BaseRevision
 	for _, d := range h.Dead {
-		if q := m.peers[d.Node]; q != nil && q.Zone == p.Zone && h.State == StateActive && d.Incarnation >= q.Incarnation {
+		q := m.peers[d.Node]
+		if q == nil {
+			continue
+		}
+		q.declared = true
+		if q.Zone == p.Zone && h.State == StateActive && d.Incarnation >= q.Incarnation {
 			q.accused = now
 		}
 	}
--- a/core/bvnode/join_test.go
+++ b/core/bvnode/join_test.go
@@ -44,5 +44,5 @@
 		return broken
 	}
 	assert.Zero(t, run(0))
-	assert.NotZero(t, run(meetPeers))
+	assert.NotZero(t, run(unheardPeers))
 }
--- a/core/bvnode/tick.go
+++ b/core/bvnode/tick.go
@@ -142,7 +142,7 @@
 	if len(n.members.Active(n.options.Zone)) == 0 || !n.baseKnown() {
 		return
 	}
-	if n.enabled(meetPeers) && !n.members.Met(now) {
+	if n.enabled(unheardPeers) && n.members.Unheard() && now.Sub(n.knownSince) < unheardLimit {
 		return
 	}
 	v := n.store.Version()
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -96,6 +96,12 @@
 		c.table.Delete(c.key)
 		return nil
 	}
+	// A copy of an opening with a request goes where the first one went.
+	if e.Has(bvflow.FlagVoid) && !(c.runsTwice() && (c.opening() || c.datagram()) && c.idle(e) <= c.options.OpeningWindow) {
+		c.uncount(c.now, e)
+		c.table.Delete(c.key)
+		return nil
+	}
 	if c.opening() && c.enabled(serviceChecks) {
 		if t := c.target(e); t != nil && t.service != c.service {
 			c.uncount(c.now, e)
@@ -196,6 +202,11 @@
 	if c.opening() || c.datagram() && c.selfOwns() && c.owned(c.now, c.service, c.key) {
 		return c.place(nil)
 	}
+	// A balancer that has just been restarted gets packets from peers that
+	// still take it for the owner, while it does not know any peer to ask.
+	if c.view.state == bvmember.StateJoining && c.enabled(joinerDrops) {
+		return drop(ReasonNoOwner)
+	}
 	return c.adopt()
 }
 
--- a/core/bvroute/sweep.go
+++ b/core/bvroute/sweep.go
@@ -66,7 +66,7 @@
 func (r *Router) handover(now time.Time, e *bvflow.Entry) (h Handover, ok bool) {
 	t := r.view.upstreams[bvconfig.UpstreamID(e.Upstream)]
 	if t == nil || t.obstacle != ReasonNone && e.State != bvflow.StateRefused || t.service == nil ||
-		r.table.Expired(r.table.Seconds(now), e) {
+		r.table.Expired(r.table.Seconds(now), e) || e.Has(bvflow.FlagVoid) {
 		return h, false
 	}
 	// A new base revision turns flows into exceptions that have been
@@ -132,7 +132,7 @@
 	}
 	v := r.view.with(peer)
 	next, done = r.table.Range(cursor, work, func(e *bvflow.Entry) bool {
-		if !e.Has(bvflow.FlagException) || r.table.Expired(r.table.Seconds(now), e) || !r.concernsPeer(v, e, peer) {
+		if !e.Has(bvflow.FlagException) || e.Has(bvflow.FlagVoid) || r.table.Expired(r.table.Seconds(now), e) || !r.concernsPeer(v, e, peer) {
 			return true
 		}
 		h := newHandover(e)
