Measure decisions and the cost of changes in a group

Change: cmd/bvbench with four packages under bench/. bvgroup connects nodes by function calls under a virtual clock and counts control bytes; calls between peers go over a loopback connection with bvpeer and are counted there. bvload generates flows with a fixed seed. bvscenario makes one change in each run and compares with hashing alone, replication of every flow and Bloom filters (bvbaseline). bvcost measures decisions and memory.

Ruled out: a formula for the size of calls, since the bytes of bvpeer can be counted at the listener.

--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,6 @@
 
 demo: build
 	./scripts/demo.sh "$(FAULT)"
+
+bench: build
+	./bin/bvbench table
--- /dev/null
+++ b/bench/bvbaseline/bvbaseline.go
@@ -0,0 +1,100 @@
+// Package bvbaseline holds the simpler designs that the bench compares with:
+// consistent hashing without memory, replication of every flow, and Bloom
+// filters in place of the list of exceptions.
+//
+// # Usage
+//
+//	before, after := bvbaseline.NewPicker(old), bvbaseline.NewPicker(c)
+//	if before.Pick(flow) != after.Pick(flow) {
+//		broken++
+//	}
+package bvbaseline
+
+import (
+	"balsamvane/bench/bvload"
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvpick"
+)
+
+// Picker picks upstreams by weighted rendezvous hashing over the zones and
+// upstreams that take new flows, as balsamvane does but without memory, load
+// or limits. A change moves the fewest flows that hashing alone can move.
+type Picker struct {
+	hasher   bvflow.Hasher
+	services []pickService
+}
+
+type pickService struct {
+	zones      []bvpick.Candidate
+	candidates [][]bvpick.Candidate
+	ids        [][]bvconfig.UpstreamID
+}
+
+// NewPicker returns a picker for a configuration.
+func NewPicker(c bvconfig.Config) Picker {
+	p := Picker{hasher: bvflow.NewHasher(c.HashSeed)}
+	for _, s := range c.Services {
+		var ps pickService
+		for _, z := range c.Zones {
+			var cs []bvpick.Candidate
+			var ids []bvconfig.UpstreamID
+			weight := uint64(0)
+			for _, u := range c.Upstreams {
+				if u.Service == s.Name && u.Zone == z.Name && !u.Leaving && !z.OutOfService {
+					cs, ids = append(cs, bvpick.Upstream(u.ID(), u.Weight)), append(ids, u.ID())
+					weight += uint64(u.Weight)
+				}
+			}
+			ps.zones = append(ps.zones, bvpick.Zone(z.Name, weight))
+			ps.candidates, ps.ids = append(ps.candidates, cs), append(ps.ids, ids)
+		}
+		p.services = append(p.services, ps)
+	}
+	return p
+}
+
+// Pick returns the upstream for a flow, or 0 if there is none.
+func (p Picker) Pick(f *bvload.Flow) bvconfig.UpstreamID {
+	k, s := p.hasher.Key(f.Tuple), &p.services[f.Service]
+	z := bvpick.Best(k, s.zones)
+	if z < 0 {
+		return 0
+	}
+	i := bvpick.Best(k, s.candidates[z])
+	if i < 0 {
+		return 0
+	}
+	return s.ids[z][i]
+}
+
+// Hashing is what hashing alone does to the open flows when the configuration
+// changes. Flows of upstreams in zones that are taken out do not count as
+// broken.
+type Hashing struct {
+	Broken    int
+	Imbalance float64
+}
+
+// Hash compares the picks before and after a change.
+func Hash(before, after bvconfig.Config, l *bvload.Load) Hashing {
+	a, b := NewPicker(before), NewPicker(after)
+	out, zone := map[string]bool{}, map[bvconfig.UpstreamID]string{}
+	for _, z := range after.Zones {
+		out[z.Name] = z.OutOfService
+	}
+	for _, u := range before.Upstreams {
+		zone[u.ID()] = u.Zone
+	}
+	var h Hashing
+	open := map[bvconfig.UpstreamID]int{}
+	l.Open(func(f *bvload.Flow) {
+		old, now := a.Pick(f), b.Pick(f)
+		open[now]++
+		if old != now && !out[zone[old]] {
+			h.Broken++
+		}
+	})
+	h.Imbalance = bvload.Imbalance(after, open)
+	return h
+}
--- /dev/null
+++ b/bench/bvgroup/meter.go
@@ -0,0 +1,230 @@
+package bvgroup
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvmember"
+	"balsamvane/core/bvnode"
+	"balsamvane/core/bvroute"
+	"balsamvane/io/bvpeer"
+	"balsamvane/io/bvplatform"
+	"balsamvane/io/bvprobe"
+	"balsamvane/io/bvtunnel"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// datagramBytes are the IPv4 and UDP headers of a heartbeat.
+	datagramBytes = 28
+	// segmentBytes are, for each direction of a call on a kept connection, the
+	// IPv4 and TCP headers with timestamps of one data segment for each 1,448
+	// bytes and of one acknowledgement.
+	segmentBytes   = 52
+	segmentPayload = 1448
+	// platformReadBytes is an allowance for the headers of one read of the
+	// platform, in both directions.
+	platformReadBytes = 600
+	watchWait         = 30 * time.Second
+)
+
+// Bytes are counters of one direction.
+type Bytes struct {
+	Heartbeat int // With IPv4 and UDP headers.
+	Calls     int // Between peers, with HTTP, TCP and IPv4 headers.
+	Platform  int // Reads of the platform, with an allowance for headers.
+	Record    int // Geneve record options on opening packets.
+	HandedOn  int // Packets, not bytes.
+}
+
+// Control returns the bytes of control messages, without in-band records.
+func (b Bytes) Control() int { return b.Heartbeat + b.Calls + b.Platform }
+
+// Traffic counts what a balancer sends and receives.
+type Traffic struct{ Sent, Received Bytes }
+
+type keySource struct{ keys *bvtunnel.Keys }
+
+func (s keySource) Keys() *bvtunnel.Keys { return s.keys }
+
+// meter makes the calls between peers over one loopback connection and counts
+// their bytes.
+type meter struct {
+	codec    *bvtunnel.Codec
+	client   *bvpeer.Client
+	listener *countingListener
+	next     answers
+	cancel   context.CancelFunc
+	wait     conc.WaitGroup
+	context  context.Context
+}
+
+// answers is the handler; it gives what the caller has set before.
+type answers struct {
+	sync   bvnode.SyncReceived
+	bundle bundle
+}
+
+func (a *answers) Sync(bvconfig.NodeID, uint64, int) bvnode.SyncReceived { return a.sync }
+func (a *answers) Push(bvconfig.NodeID, []bvnode.FlowRecord)             {}
+func (a *answers) Bundle() (bvplatform.Bundle, bool)                     { return published(a.bundle), true }
+
+func published(b bundle) bvplatform.Bundle {
+	return bvplatform.Bundle{Manifest: b.manifest, Parts: b.parts}
+}
+
+func newMeter() (*meter, error) {
+	l, err := listenCounting()
+	if err != nil {
+		return nil, err
+	}
+	keys := keySource{&bvtunnel.Keys{Current: bvtunnel.Key{1}}}
+	credentials := bvpeer.Credentials{Keys: keys}
+	m := &meter{codec: bvtunnel.NewCodec(keys), listener: l}
+	clock := clockwork.NewRealClock()
+	m.client = bvpeer.NewClient(1<<63, credentials, clock, bvpeer.Options{Timeout: 10 * time.Second})
+	m.context, m.cancel = context.WithCancel(context.Background())
+	server := bvpeer.NewServer(&m.next, credentials, clock)
+	m.wait.Go(func() { _ = server.Serve(m.context, l) })
+	return m, nil
+}
+
+func (m *meter) close() {
+	m.cancel()
+	m.wait.Wait()
+}
+
+func (m *meter) heartbeat(h bvmember.Heartbeat) (int, error) {
+	b, err := m.codec.AppendHeartbeat(nil, h)
+	return len(b) + datagramBytes, eris.Wrap(err, "bvgroup: heartbeat")
+}
+
+// call makes a call and adds its bytes to both sides.
+func (m *meter) call(from, to *Member, f func() error) error {
+	in, out := m.listener.in.Load(), m.listener.out.Load()
+	err := f()
+	request := withHeaders(int(m.listener.in.Load() - in))
+	answer := withHeaders(int(m.listener.out.Load() - out))
+	from.Traffic.Sent.Calls += request
+	to.Traffic.Received.Calls += request
+	to.Traffic.Sent.Calls += answer
+	from.Traffic.Received.Calls += answer
+	return err
+}
+
+func withHeaders(n int) int { return n + segmentBytes*(1+(n+segmentPayload-1)/segmentPayload) }
+
+func (m *meter) push(from, to *Member, rs []bvnode.FlowRecord) error {
+	return m.call(from, to, func() error { return m.client.Push(m.context, m.listener.address(), rs) })
+}
+
+func (m *meter) sync(from, to *Member, a bvnode.RequestSync, r bvnode.SyncReceived) error {
+	m.next.sync = r
+	return m.call(from, to, func() error {
+		_, err := m.client.Sync(m.context, m.listener.address(), a.Cursor, a.Limit)
+		return err
+	})
+}
+
+func (m *meter) fetch(from, to *Member) error {
+	m.next.bundle = to.has
+	m.client.Known(published(from.has))
+	return m.call(from, to, func() error {
+		_, err := m.client.Fetch(m.context, m.listener.address())
+		return err
+	})
+}
+
+// recordBytes returns the size of the Geneve option that carries a record.
+func recordBytes(r bvroute.Record) int { return 4 + 4 + 8 + 8*int(r.Count) }
+
+// countingListener counts the bytes of all connections.
+type countingListener struct {
+	net.Listener
+	in, out atomic.Int64
+}
+
+func listenCounting() (*countingListener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "bvgroup: listening")
+	}
+	return &countingListener{Listener: l}, nil
+}
+
+func (l *countingListener) address() netip.AddrPort {
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, eris.Wrap(err, "bvgroup: accepting")
+	}
+	return countingConn{c, l}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	listener *countingListener
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.listener.in.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(b []byte) (int, error) {
+	// The count is up to date before the peer can read the bytes.
+	c.listener.out.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+// ProbeBytes returns the bytes of one probe of an upstream's health endpoint
+// in both directions, with TCP and IPv4 headers, on a kept connection.
+func ProbeBytes() (int, error) {
+	l, err := listenCounting()
+	if err != nil {
+		return 0, err
+	}
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(`{"state":"warm","startedAt":"2030-01-01T00:00:00.000Z","openConnections":1234,"busySlots":4}`))
+	}))
+	_ = s.Listener.Close()
+	s.Listener = l
+	s.Start()
+	defer s.Close()
+	results := make(chan bvnode.Event, 1)
+	p := bvprobe.New(clockwork.NewRealClock(), func(e bvnode.Event) {
+		select {
+		case results <- e:
+		default:
+		}
+	}, bvprobe.Options{Interval: 200 * time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait conc.WaitGroup
+	wait.Go(func() { p.Run(ctx) })
+	p.Set([]bvconfig.Upstream{{Name: "vm", Service: "s", Health: l.address()}})
+	e := <-results
+	in, out := l.in.Load(), l.out.Load()
+	cancel()
+	wait.Wait()
+	if _, ok := e.(bvnode.ProbeSucceeded); !ok {
+		return 0, eris.New("bvgroup: the probe failed")
+	}
+	return withHeaders(int(in)) + withHeaders(int(out)), nil
+}
--- /dev/null
+++ b/bench/bvload/bvload.go
@@ -0,0 +1,340 @@
+// Package bvload generates the flows of a group with a fixed seed and counts
+// what becomes of them.
+//
+// A flow opens with a SYN, which is sent again after 1, 2 and 4 s if no
+// upstream gets it, continues with data packets and ends with a FIN. Each
+// packet goes to a balancer chosen at random.
+//
+// # Usage
+//
+//	l := bvload.New(group, bvload.Options{Seed: 1, FlowsPerSecond: 24_000})
+//	l.Run(30 * time.Second)
+//	fmt.Println(l.Counts.Broken, l.Imbalance())
+package bvload
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"balsamvane/bench/bvgroup"
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvnode"
+	"balsamvane/core/bvroute"
+)
+
+// Options describe the workload. Zero values are replaced by the defaults
+// given.
+type Options struct {
+	Seed           uint64
+	FlowsPerSecond float64       // New flows of the whole group.
+	LongShare      float64       // 0.01: share of the flows that are long-lived.
+	ShortLife      time.Duration // 400 ms: mean life, exponential.
+	LongLife       time.Duration // 30 s: mean life, exponential.
+	DataInterval   time.Duration // 5 s between data packets of a long flow.
+	Shares         []float64     // Of the services; 0.75 and 0.25.
+}
+
+func (o Options) withDefaults() Options {
+	if o.LongShare == 0 {
+		o.LongShare = 0.01
+	}
+	if o.ShortLife == 0 {
+		o.ShortLife = 400 * time.Millisecond
+	}
+	if o.LongLife == 0 {
+		o.LongLife = 30 * time.Second
+	}
+	if o.DataInterval == 0 {
+		o.DataInterval = 5 * time.Second
+	}
+	if o.Shares == nil {
+		o.Shares = []float64{0.75, 0.25}
+	}
+	return o
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Opened  int // First opening packets.
+	Refused int // Flows that were refused.
+	Delayed int // First opening packets that no upstream got and that were not refused.
+	Failed  int // Flows given up after the fourth opening packet.
+	Placed  int
+	// Reasons are those for which openings were dropped or refused.
+	Reasons map[string]int
+	// Exceptions are the placed flows whose opening carried a record.
+	Exceptions int
+	Packets    int // Data and closing packets.
+	Dropped    int // Of these, packets that no upstream got.
+	Broken     int // Flows of which a packet reached another upstream.
+	GivenUp    int // Flows of a zone that was taken out.
+	Hops       int // Balancers passed by all packets.
+}
+
+// Flow is a flow of the generator.
+type Flow struct {
+	Tuple     bvflow.Tuple
+	Upstream  bvconfig.UpstreamID // 0 until it is placed.
+	Service   int
+	Exception bool
+	Broken    bool
+	Opened    int // Tick of the first packet.
+	close     int // Tick.
+	attempts  int
+	live      bool
+}
+
+// Observer follows the life of the flows, for the baselines.
+type Observer interface {
+	Opened(f *Flow)
+	Closed(f *Flow)
+	Tick()
+}
+
+// Load is a running workload.
+type Load struct {
+	Counts   Counts
+	Observer Observer // May be nil.
+
+	group   *bvgroup.Group
+	options Options
+	random  *rand.Rand
+	flows   []*Flow
+	free    []*Flow
+	events  [][]*Flow // By tick, in a ring.
+	tick    int
+	number  uint32
+	due     float64
+	open    map[bvconfig.UpstreamID]int
+}
+
+const ringTicks = 1 << 13
+
+// New returns a workload for a group.
+func New(g *bvgroup.Group, o Options) *Load {
+	return &Load{
+		group: g, options: o.withDefaults(), random: rand.New(rand.NewPCG(o.Seed, 1)),
+		events: make([][]*Flow, ringTicks), open: map[bvconfig.UpstreamID]int{},
+		Counts: Counts{Reasons: map[string]int{}},
+	}
+}
+
+// Run opens, continues and closes flows and lets time pass in the group.
+func (l *Load) Run(d time.Duration) {
+	for end := l.group.Now().Add(d); l.group.Now().Before(end); {
+		l.Tick()
+	}
+}
+
+// Tick lets [bvnode.TickInterval] pass.
+func (l *Load) Tick() {
+	l.group.Tick()
+	slot := l.tick % ringTicks
+	events := l.events[slot]
+	l.events[slot] = nil
+	for _, f := range events {
+		if f.live {
+			l.event(f)
+		}
+	}
+	l.due += l.options.FlowsPerSecond * bvnode.TickInterval.Seconds()
+	for ; l.due >= 1; l.due-- {
+		l.create()
+	}
+	if l.Observer != nil {
+		l.Observer.Tick()
+	}
+	l.tick++
+}
+
+func (l *Load) create() {
+	var f *Flow
+	if n := len(l.free); n > 0 {
+		f, l.free = l.free[n-1], l.free[:n-1]
+	} else {
+		f = &Flow{}
+		l.flows = append(l.flows, f)
+	}
+	life := l.options.ShortLife
+	if l.random.Float64() < l.options.LongShare {
+		life = l.options.LongLife
+	}
+	service := 0
+	for x := l.random.Float64(); service < len(l.options.Shares)-1 && x >= l.options.Shares[service]; service++ {
+		x -= l.options.Shares[service]
+	}
+	l.number++
+	n := l.number
+	*f = Flow{
+		Tuple: bvflow.Tuple{
+			Source:      netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(n >> 24), byte(n >> 16), byte(n >> 8)}), 1024+uint16(n&0xff)),
+			Destination: bvgroup.ServiceAddress(service), Protocol: bvflow.ProtocolTCP,
+		},
+		Service: service, Opened: l.tick, live: true,
+	}
+	ticks := l.random.ExpFloat64() * float64(life) / float64(bvnode.TickInterval)
+	f.close = l.tick + 1 + min(int(ticks), ringTicks-200)
+	l.Counts.Opened++
+	l.attempt(f)
+}
+
+func (l *Load) at(f *Flow, tick int) { l.events[tick%ringTicks] = append(l.events[tick%ringTicks], f) }
+
+// target returns a running balancer.
+func (l *Load) target() int {
+	ms := l.group.Members()
+	for {
+		if i := l.random.IntN(len(ms)); ms[i].Node != nil {
+			return i
+		}
+	}
+}
+
+func (l *Load) send(f *Flow, phase bvflow.Phase) bvgroup.Result {
+	r := l.group.Send(l.target(), bvflow.Packet{Tuple: f.Tuple, Phase: phase})
+	l.Counts.Hops += r.Hops
+	return r
+}
+
+func (l *Load) attempt(f *Flow) {
+	r := l.send(f, bvflow.PhaseOpening)
+	f.attempts++
+	if r.Upstream == 0 {
+		l.Counts.Reasons[r.Reason.String()]++
+	}
+	switch {
+	case r.Upstream != 0:
+		f.Upstream, f.Exception = r.Upstream, r.Recorded
+		f.close += l.tick - f.Opened
+		l.placed(f)
+	case r.Verdict == bvroute.VerdictRefuse:
+		l.Counts.Refused++
+		l.end(f)
+	case f.attempts == 4:
+		l.Counts.Failed++
+		l.end(f)
+	default:
+		if f.attempts == 1 {
+			l.Counts.Delayed++
+		}
+		l.at(f, l.tick+10<<(f.attempts-1))
+	}
+}
+
+func (l *Load) placed(f *Flow) {
+	l.Counts.Placed++
+	l.open[f.Upstream]++
+	if f.Exception {
+		l.Counts.Exceptions++
+	}
+	if l.Observer != nil {
+		l.Observer.Opened(f)
+	}
+	// The acknowledgement of the handshake.
+	l.data(f, bvflow.PhaseEstablished)
+	l.schedule(f)
+}
+
+func (l *Load) schedule(f *Flow) {
+	l.at(f, min(f.close, l.tick+int(l.options.DataInterval/bvnode.TickInterval)))
+}
+
+func (l *Load) event(f *Flow) {
+	switch {
+	case f.Upstream == 0:
+		l.attempt(f)
+	case l.tick >= f.close:
+		l.data(f, bvflow.PhaseClosing)
+		l.open[f.Upstream]--
+		l.end(f)
+	default:
+		l.data(f, bvflow.PhaseEstablished)
+		l.schedule(f)
+	}
+}
+
+func (l *Load) data(f *Flow, phase bvflow.Phase) {
+	r := l.send(f, phase)
+	l.Counts.Packets++
+	switch {
+	case r.Upstream == 0:
+		l.Counts.Dropped++
+	case r.Upstream != f.Upstream && !f.Broken:
+		f.Broken = true
+		l.Counts.Broken++
+	}
+}
+
+func (l *Load) end(f *Flow) {
+	f.live = false
+	if l.Observer != nil && f.Upstream != 0 {
+		l.Observer.Closed(f)
+	}
+	// The flow may still be referred to by an event of this tick only.
+	l.free = append(l.free, f)
+}
+
+// GiveUp ends all flows of a zone that operators take out.
+func (l *Load) GiveUp(zone string) {
+	in := map[bvconfig.UpstreamID]bool{}
+	for _, u := range l.group.Config().Upstreams {
+		in[u.ID()] = u.Zone == zone
+	}
+	for _, f := range l.flows {
+		if f.live && in[f.Upstream] {
+			f.live = false // Not reused, since an event still refers to it.
+			l.open[f.Upstream]--
+			l.Counts.GivenUp++
+			if l.Observer != nil {
+				l.Observer.Closed(f)
+			}
+		}
+	}
+}
+
+// Open calls visit for all open flows.
+func (l *Load) Open(visit func(*Flow)) {
+	for _, f := range l.flows {
+		if f.live && f.Upstream != 0 {
+			visit(f)
+		}
+	}
+}
+
+// CheckOpen sends a data packet of each open flow, which finds the flows that
+// are broken but silent. It returns the number of flows of which no upstream
+// got the packet.
+func (l *Load) CheckOpen() (unreachable int) {
+	before := l.Counts.Dropped
+	l.Open(func(f *Flow) { l.data(f, bvflow.PhaseEstablished) })
+	return l.Counts.Dropped - before
+}
+
+// Imbalance returns the largest number of open flows of an upstream divided by
+// the mean, over the upstreams that take new flows; the worst service counts.
+func (l *Load) Imbalance() float64 {
+	return Imbalance(l.group.Config(), l.open)
+}
+
+// Imbalance is the imbalance for given numbers of open flows.
+func Imbalance(c bvconfig.Config, open map[bvconfig.UpstreamID]int) float64 {
+	out := map[string]bool{}
+	for _, z := range c.Zones {
+		out[z.Name] = z.OutOfService
+	}
+	worst := 1.0
+	for _, s := range c.Services {
+		most, sum, n := 0, 0, 0
+		for _, u := range c.Upstreams {
+			if u.Service == s.Name && !u.Leaving && !out[u.Zone] {
+				most, sum, n = max(most, open[u.ID()]), sum+open[u.ID()], n+1
+			}
+		}
+		if sum > 0 {
+			worst = max(worst, float64(most)*float64(n)/float64(sum))
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/bench/bvscenario/bvscenario.go
@@ -0,0 +1,280 @@
+// Package bvscenario measures what changes of a group cost and break. Each
+// scenario runs a group of 8 balancers in 4 zones before 14 and 4 upstreams
+// under the same workload, makes one change, and compares with the baselines.
+//
+// # Usage
+//
+//	for _, s := range bvscenario.All(bvscenario.Options{}) {
+//		outcomes, err := s.Run()
+//	}
+package bvscenario
+
+import (
+	"time"
+
+	"balsamvane/bench/bvbaseline"
+	"balsamvane/bench/bvgroup"
+	"balsamvane/bench/bvload"
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvnode"
+)
+
+const (
+	zones     = 4
+	balancers = 8
+	// budget is the control budget of a balancer in bytes a second.
+	budget = 3000
+	// window is the time over which control bytes are averaged.
+	window = 10 * time.Second
+	// quietTime is how long imbalance and refusals must be normal.
+	quietTime = 2 * time.Second
+	// normalImbalance is the largest imbalance that counts as normal.
+	normalImbalance = 1.1
+)
+
+// Options are common to all scenarios. Zero values are replaced by the
+// defaults given.
+type Options struct {
+	Seed uint64
+	// FlowsPerSecond of new flows for each balancer; 3,000.
+	FlowsPerSecond float64
+	WarmUp         time.Duration // 30 s of load before the change.
+	After          time.Duration // 60 s of load after it.
+}
+
+func (o Options) withDefaults() Options {
+	if o.FlowsPerSecond == 0 {
+		o.FlowsPerSecond = 3000
+	}
+	if o.WarmUp == 0 {
+		o.WarmUp = 30 * time.Second
+	}
+	if o.After == 0 {
+		o.After = 60 * time.Second
+	}
+	return o
+}
+
+// Rates are bytes a second, averaged over the window of 10 s in which they are
+// largest.
+type Rates struct {
+	Mean     float64 // Sent, mean of the balancers.
+	Sent     float64 // Sent by the balancer that sends most.
+	Received float64 // Received by the balancer that receives most.
+	InBand   float64 // Record options sent, mean of the balancers.
+}
+
+// Outcome is what a change did.
+type Outcome struct {
+	Name        string
+	Rates       Rates
+	OpenFlows   int // At the change.
+	Counts      bvload.Counts
+	Unreachable int // Open flows of which no upstream gets a packet at the end.
+	Imbalance   float64
+	Worst       float64 // Imbalance during the first 10 s.
+	// Normal is the time until imbalance and refusals are normal; negative if
+	// that did not happen.
+	Normal time.Duration
+	// Joined is the time until all balancers are active; negative if that did
+	// not happen, 0 if none joined.
+	Joined     time.Duration
+	Hashing    bvbaseline.Hashing
+	Replicated Replicated
+	Bloom      []bvbaseline.BloomResult // Only of the quiet scenario.
+}
+
+// Replicated is what the replication of every flow does in a change.
+type Replicated struct {
+	Share  float64 // Of the open flows that are replicated at the change.
+	Broken int
+	// Again is the time to replicate the flows of lost balancers again, under
+	// the budget.
+	Again time.Duration
+}
+
+// Scenario is a series of changes.
+type Scenario struct {
+	Name  string
+	steps []step
+	o     Options
+}
+
+type step struct {
+	name  string
+	after time.Duration // Time of load after the change; Options.After if 0.
+	lost  []int         // Balancers whose tables are lost.
+	apply func(r *run) error
+	later func(r *run, since time.Duration) // Called in each tick.
+}
+
+// run is a scenario that is under way.
+type run struct {
+	*bvgroup.Group
+	load        *bvload.Load
+	replication *bvbaseline.Replication
+	samples     []sample // One a second.
+	options     Options
+}
+
+type sample struct {
+	sent, received, inBand []int // Of each balancer.
+}
+
+// Run runs the scenario and returns one outcome for each of its changes.
+func (s Scenario) Run() ([]Outcome, error) {
+	g, err := bvgroup.New(bvgroup.Shape{
+		Zones: zones, Balancers: balancers, Upstreams: []int{14, 4},
+		Cold: coldRate, Warm: warmRate, WarmUp: warmUp,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer g.Close()
+	r := &run{Group: g, options: s.o, replication: bvbaseline.NewReplication(g.Config(), budget)}
+	r.load = bvload.New(g, bvload.Options{Seed: s.o.Seed, FlowsPerSecond: s.o.FlowsPerSecond * balancers})
+	r.load.Observer = r.replication
+	// The upstreams are warm before the load starts.
+	g.Run(warmUp + 10*time.Second)
+	r.load.Run(s.o.WarmUp)
+	var out []Outcome
+	for _, st := range s.steps {
+		o, err := r.step(st)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, o)
+	}
+	return out, g.Err()
+}
+
+func (r *run) step(s step) (Outcome, error) {
+	o := Outcome{Name: s.name, Normal: -1, Joined: -1}
+	r.load.Open(func(*bvload.Flow) { o.OpenFlows++ })
+	before, counts := r.Config(), r.load.Counts
+	r.load.Counts.Reasons = map[string]int{}
+	o.Replicated.Share = r.replication.Sent()
+	if s.apply != nil {
+		if err := s.apply(r); err != nil {
+			return o, err
+		}
+	}
+	o.Hashing = bvbaseline.Hash(before, r.Config(), r.load)
+	broken, again := r.replication.Lost(r.Config(), s.lost...)
+	o.Replicated.Broken = broken
+	o.Replicated.Again = time.Duration(float64(again) * 24 / budget * float64(time.Second))
+	if s.name == "quiet" {
+		for _, bits := range []int{8, 10, 16} {
+			o.Bloom = append(o.Bloom, bvbaseline.Bloom(r.Config(), r.load, bits))
+		}
+	}
+	r.observe(s, &o)
+	o.Imbalance = r.load.Imbalance()
+	o.Unreachable = r.load.CheckOpen()
+	o.Counts = difference(r.load.Counts, counts)
+	return o, nil
+}
+
+// observe runs the load and follows the group until the step ends.
+func (r *run) observe(s step, o *Outcome) {
+	start, normalSince := r.Now(), r.Now()
+	r.samples = []sample{r.sample()}
+	after := s.after
+	if after == 0 {
+		after = r.options.After
+	}
+	for since := time.Duration(0); since < after; {
+		failed := r.load.Counts.Refused + r.load.Counts.Delayed
+		r.load.Tick()
+		since = r.Now().Sub(start)
+		if s.later != nil {
+			s.later(r, since)
+		}
+		imbalance := r.load.Imbalance()
+		if since <= window {
+			o.Worst = max(o.Worst, imbalance)
+		}
+		if imbalance >= normalImbalance || r.load.Counts.Refused+r.load.Counts.Delayed > failed {
+			normalSince = r.Now()
+		}
+		if o.Normal < 0 && r.Now().Sub(normalSince) >= quietTime {
+			o.Normal = normalSince.Sub(start)
+		}
+		if o.Joined < 0 && r.allActive() {
+			o.Joined = since
+		}
+		if since%time.Second == 0 {
+			r.samples = append(r.samples, r.sample())
+		}
+	}
+	o.Rates = r.rates()
+}
+
+func (r *run) allActive() bool {
+	for _, m := range r.Members() {
+		if m.Node == nil || m.Node.Status(r.Now()).State != "active" {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *run) sample() sample {
+	var s sample
+	for _, m := range r.Members() {
+		s.sent = append(s.sent, m.Traffic.Sent.Control())
+		s.received = append(s.received, m.Traffic.Received.Control())
+		s.inBand = append(s.inBand, m.Traffic.Sent.Record)
+	}
+	return s
+}
+
+// rates returns the largest averages over the window.
+func (r *run) rates() Rates {
+	var out Rates
+	n := int(window / time.Second)
+	for i := n; i < len(r.samples); i++ {
+		a, b := r.samples[i-n], r.samples[i]
+		mean, inBand := 0.0, 0.0
+		for j := range b.sent {
+			sent := float64(b.sent[j]-a.sent[j]) / window.Seconds()
+			mean += sent / balancers
+			inBand += float64(b.inBand[j]-a.inBand[j]) / window.Seconds() / balancers
+			out.Sent = max(out.Sent, sent)
+			out.Received = max(out.Received, float64(b.received[j]-a.received[j])/window.Seconds())
+		}
+		out.Mean, out.InBand = max(out.Mean, mean), max(out.InBand, inBand)
+	}
+	return out
+}
+
+func difference(a, b bvload.Counts) bvload.Counts {
+	return bvload.Counts{
+		Reasons: a.Reasons,
+		Opened:  a.Opened - b.Opened, Refused: a.Refused - b.Refused, Delayed: a.Delayed - b.Delayed,
+		Failed: a.Failed - b.Failed, Placed: a.Placed - b.Placed, Exceptions: a.Exceptions - b.Exceptions,
+		Packets: a.Packets - b.Packets, Dropped: a.Dropped - b.Dropped, Broken: a.Broken - b.Broken,
+		GivenUp: a.GivenUp - b.GivenUp, Hops: a.Hops - b.Hops,
+	}
+}
+
+// zoneOut sets whether a zone is out of service.
+func zoneOut(name string, out bool) func(*bvconfig.Config) {
+	return func(c *bvconfig.Config) {
+		for i := range c.Zones {
+			if c.Zones[i].Name == name {
+				c.Zones[i].OutOfService = out
+			}
+		}
+	}
+}
+
+// restarted reports that all upstreams of a zone have been restarted, to the
+// balancers that probe them.
+func (r *run) restarted(zone string, at time.Time) {
+	for _, u := range r.Config().Upstreams {
+		if u.Zone == zone {
+			r.Probe(u, bvnode.ProbeSucceeded{Upstream: u.ID(), State: bvnode.UpstreamWarm, StartedAt: at})
+		}
+	}
+}
--- /dev/null
+++ b/cmd/bvbench/table.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"balsamvane/bench/bvcost"
+	"balsamvane/bench/bvgroup"
+	"balsamvane/bench/bvscenario"
+
+	"github.com/sourcegraph/conc/pool"
+	"github.com/spf13/cobra"
+)
+
+// parallel is the number of scenarios that run at once. The machine may be
+// shared.
+const parallel = 2
+
+// printer prints the lines of one table.
+type printer struct{ w *tabwriter.Writer }
+
+func newPrinter(w io.Writer) printer {
+	return printer{tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)}
+}
+
+func (p printer) line(columns ...any) {
+	for i, c := range columns {
+		if i > 0 {
+			_, _ = fmt.Fprint(p.w, "\t")
+		}
+		_, _ = fmt.Fprint(p.w, c)
+	}
+	_, _ = fmt.Fprintln(p.w)
+}
+
+// below prints a value that should not exceed a target.
+func (p printer) below(name string, value, target float64, unit string, notes ...any) {
+	verdict := "met"
+	if value > target {
+		verdict = "MISSED"
+	}
+	p.line(append([]any{name, fmt.Sprintf("%.5g %s", value, unit), fmt.Sprintf("<= %g", target), verdict}, notes...)...)
+}
+
+func newTableCommand() *cobra.Command {
+	var o bvscenario.Options
+	var only string
+	c := &cobra.Command{
+		Use: "table", Short: "Print the table of the measurements in one process", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			p := newPrinter(c.OutOrStdout())
+			p.line("case", "value", "target", "verdict", "note")
+			if only == "" {
+				if err := decisions(p); err != nil {
+					return err
+				}
+			}
+			if err := scenarios(p, o, only); err != nil {
+				return err
+			}
+			return p.w.Flush()
+		},
+	}
+	c.Flags().Uint64Var(&o.Seed, "seed", 1, "seed of the workload")
+	c.Flags().Float64Var(&o.FlowsPerSecond, "flows-per-second", 3000, "new flows for each balancer")
+	c.Flags().DurationVar(&o.WarmUp, "warm-up", 30*time.Second, "virtual time of load before a change")
+	c.Flags().StringVar(&only, "only", "", "run one scenario only")
+	return c
+}
+
+func decisions(p printer) error {
+	c, err := bvcost.Decisions()
+	if err != nil {
+		return err
+	}
+	for _, x := range []struct {
+		name   string
+		cost   bvcost.Cost
+		target float64
+	}{
+		{"decision, known flow", c.Known, 200},
+		{"decision, new flow", c.New, 500},
+		{"decision, unknown mid-flow, 14 upstreams", c.Unknown, 1000},
+		{"decision, hand on to the owner", c.HandOn, 1000},
+	} {
+		p.below(x.name, x.cost.Nanoseconds, x.target, "ns", fmt.Sprintf("median of 5 rounds, slowest %.0f", x.cost.Slowest))
+		allocations := float64(int(x.cost.Allocations*100)) / 100
+		p.below(x.name+", allocations", allocations, 0, "", fmt.Sprintf("%.5f with the growth of the table", x.cost.Allocations))
+	}
+	for _, n := range []int{100_000, 300_000} {
+		b, err := bvcost.BytesPerFlow(n)
+		if err != nil {
+			return err
+		}
+		p.below(fmt.Sprintf("heap per open flow, %d flows", n), b, 64, "B")
+	}
+	probe, err := bvgroup.ProbeBytes()
+	if err != nil {
+		return err
+	}
+	p.line("probe of an upstream, both directions", fmt.Sprint(probe, " B"), "-", "-", "every 2 s for each upstream of the zone; not in the control rows")
+	return nil
+}
+
+func scenarios(p printer, o bvscenario.Options, only string) error {
+	all := bvscenario.All(o)
+	results := make([][]bvscenario.Outcome, len(all))
+	run := pool.New().WithErrors().WithMaxGoroutines(parallel)
+	for i, s := range all {
+		if only == "" || only == s.Name {
+			run.Go(func() (err error) {
+				results[i], err = s.Run()
+				return err
+			})
+		}
+	}
+	if err := run.Wait(); err != nil {
+		return err
+	}
+	for _, r := range results {
+		for _, x := range r {
+			outcome(p, x)
+		}
+	}
+	return nil
+}
+
+func outcome(p printer, o bvscenario.Outcome) {
+	c := o.Counts
+	p.below(o.Name+": control, mean of the balancers", o.Rates.Mean, 3000, "B/s", "sent, worst 10 s")
+	p.below(o.Name+": control, balancer that sends most", o.Rates.Sent, 3000, "B/s",
+		fmt.Sprintf("received at most %.0f B/s", o.Rates.Received))
+	p.line(o.Name+": in-band record options", fmt.Sprintf("%.0f B/s", o.Rates.InBand), "-", "-",
+		fmt.Sprintf("mean of the balancers, worst 10 s; %.1f%% of new flows are exceptions", 100*float64(c.Exceptions)/float64(max(c.Placed, 1))))
+	p.below(o.Name+": broken flows", float64(c.Broken), 0, "", fmt.Sprintf(
+		"of %d open; hashing alone %d; every flow replicated under 3 KB/s %d (%.0f%% replicated, lost tables again after %.0f s)",
+		o.OpenFlows, o.Hashing.Broken, o.Replicated.Broken, 100*o.Replicated.Share, o.Replicated.Again.Seconds()))
+	p.line(o.Name+": packets lost", c.Dropped, "-", "-", fmt.Sprintf(
+		"of %d data and closing packets; %d open flows unreachable at the end; %d flows given up with their zone", c.Packets, o.Unreachable, c.GivenUp))
+	p.below(o.Name+": imbalance at the end", o.Imbalance, 1.1, "", fmt.Sprintf("worst of the first 10 s %.3f; hashing alone %.3f", o.Worst, o.Hashing.Imbalance))
+	p.below(o.Name+": refused share", 100*float64(c.Refused)/float64(c.Opened), 0, "%", fmt.Sprintf(
+		"of %d openings; %.3f%% sent again, %.3f%% failed after four tries; %v", c.Opened,
+		100*float64(c.Delayed)/float64(c.Opened), 100*float64(c.Failed)/float64(c.Opened), c.Reasons))
+	p.line(o.Name+": back to normal after", seconds(o.Normal), "-", "-", "imbalance < 1.1 and nothing refused or dropped for 2 s; all balancers active after "+seconds(o.Joined))
+	for _, b := range o.Bloom {
+		p.line(fmt.Sprintf("Bloom filters, %d bits an exception", b.BitsPerEntry), fmt.Sprint(b.FilterBytes, " B"), "-", "-", fmt.Sprintf(
+			"list %d B for %d open exceptions; %d of %d other open flows sent to a wrong upstream (broken)", b.ListBytes, b.Exceptions, b.FalsePositive, b.Asked))
+	}
+}
+
+func seconds(d time.Duration) string {
+	if d < 0 {
+		return "not in the run"
+	}
+	return fmt.Sprintf("%.1f s", d.Seconds())
+}
