--- a/core/bvroute/members.go
+++ b/core/bvroute/members.go
@@ -33,17 +33,14 @@
 }
 
 // members returns the owner of k and its replica set: the second-ranked
-// balancer of the zone, the first two in the base zone, and joining balancers
-// that rank above these. The owner in the base zone is the one that every
+// balancer of the zone, the first two in the home zone, and joining balancers
+// that rank above these. The owner in the home zone is the one that every
 // other balancer asks about a flow that it does not know, whatever its
 // configuration says; the second one there takes over when the first dies
 // while a new configuration changes the zone of the flow.
 func (v *view) members(s *service, k bvflow.Key) (m members) {
 	_, placing := v.placing(s, k)
-	zones := [2]int{placing, -1}
-	if len(s.bases) > 0 {
-		zones[1] = s.bases[0].zone(k)
-	}
+	zones := [2]int{placing, v.home(s, k)}
 	var seconds [2]*node
 	for i, z := range zones {
 		seconds[i] = v.addFirstTwo(&m, k, z)
@@ -95,19 +92,22 @@
 	return bvpick.Best(k, []bvpick.Candidate{bvpick.Balancer(a.ID), bvpick.Balancer(b.ID)}) == 0
 }
 
-// replicas returns a record's remaining members, without this node. Balancers
-// with another configuration come first: the last one sends the packet, and
-// they may not know its upstream yet.
+// replicas returns a record's remaining members, without this node. They are
+// in ascending order of their configurations: the last one sends the packet,
+// and the others may not know its upstream yet.
 func (v *view) replicas(s *service, k bvflow.Key) (r Record) {
 	m := v.members(s, k)
-	for _, other := range [2]bool{true, false} {
-		for _, id := range m.ids[:m.count] {
-			n, ok := v.peers[id]
-			if ok && n.OtherVersion == other && int(r.Count) < MaxReplicas {
-				r.Replicas[r.Count] = id
-				r.Count++
-			}
+	for _, id := range m.ids[:m.count] {
+		n, ok := v.peers[id]
+		if !ok || int(r.Count) == MaxReplicas {
+			continue
+		}
+		i := int(r.Count)
+		for ; i > 0 && v.peers[r.Replicas[i-1]].Version.Compare(n.Version) > 0; i-- {
+			r.Replicas[i] = r.Replicas[i-1]
 		}
+		r.Replicas[i] = id
+		r.Count++
 	}
 	return r
 }
--- a/core/bvroute/record.go
+++ b/core/bvroute/record.go
@@ -26,7 +26,7 @@
 			return drop(t.obstacle)
 		}
 	}
-	if !c.store(e, rec) {
+	if c.concerns(e, rec) && !c.store(e, rec) {
 		return drop(ReasonOverload)
 	}
 	if d, ok := c.toReplica(rec); ok {
@@ -42,12 +42,22 @@
 	}
 }
 
+// concerns reports whether this node has to keep the record. It need not when
+// it only sends a packet in mid-flow for a balancer that lacks the newest
+// configuration.
+func (c *passage) concerns(e *bvflow.Entry, rec Record) bool {
+	if e != nil || rec.Count > 0 || rec.Kind == RecordRefused || c.opening() || c.datagram() {
+		return true
+	}
+	m := c.view.members(c.service, c.key)
+	return m.contains(c.self)
+}
+
 // handBack returns a recorded packet to the owner that has placed it, or to
 // the last node that had it. The last replica does so while it does not have
-// the configuration with the upstream yet. Each step extends the trail, which
-// bounds them.
+// the configuration with the upstream yet.
 func (c *passage) handBack(rec Record) Decision {
-	if c.trail.Count == 0 || c.trail.Count == MaxVisited {
+	if c.trail.Count == 0 {
 		return drop(ReasonUnknownUpstream)
 	}
 	to := c.trail.Visited[c.trail.Count-1]
@@ -58,6 +68,15 @@
 	if !ok {
 		return drop(ReasonUnknownUpstream)
 	}
+	return c.handRecord(&n, rec)
+}
+
+// handRecord hands the packet on with a record whose upstream this node does
+// not know. Each step extends the trail, which bounds them.
+func (c *passage) handRecord(n *node, rec Record) Decision {
+	if c.trail.Count == MaxVisited {
+		return drop(ReasonUnknownUpstream)
+	}
 	return Decision{
 		Verdict: VerdictHandOn, Reason: ReasonUnknownUpstream, Next: n.ID, Tunnel: n.Tunnel,
 		Upstream: rec.Upstream, Trail: c.trail.With(c.self), Record: rec,
@@ -71,7 +90,7 @@
 	if !c.enabled(tombstones) || !c.enabled(openingWindow) {
 		return ReasonNone
 	}
-	recent := c.idle(c.now, e) <= c.options.OpeningWindow
+	recent := c.idle(e) <= c.options.OpeningWindow
 	switch {
 	case rec.Kind == RecordRefused:
 		if e.State != bvflow.StateRefused && recent {
@@ -104,7 +123,7 @@
 		c.uncount(c.now, e)
 	}
 	set(e, rec.Kind, rec.Upstream)
-	e.Seen = c.table.Seconds(c.now)
+	e.Seen = c.seconds
 	e.Replicated = max(e.Seen, 1)
 	return true
 }
@@ -126,10 +145,10 @@
 // [bvflow.ErrTableFull] if there is no room.
 func (r *Router) Store(now time.Time, k bvflow.Key, kind RecordKind, u bvconfig.UpstreamID) error {
 	e := r.table.Lookup(k)
-	if e != nil && !r.table.Expired(now, e) {
+	if e != nil && !r.table.Expired(r.table.Seconds(now), e) {
 		own := e.Has(bvflow.FlagOwner) && !e.Has(bvflow.FlagAdopted)
 		fresh := e.Replicated != 0 &&
-			time.Duration(r.table.Seconds(now)-e.Replicated)*time.Second <= r.options.OpeningWindow
+			age(r.table.Seconds(now), e.Replicated) <= r.options.OpeningWindow
 		if own || fresh || e.Upstream == uint64(u) && e.Has(bvflow.FlagOwner) {
 			return nil
 		}
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -18,6 +18,7 @@
 type passage struct {
 	*Router
 	now     time.Time
+	seconds uint32 // Of now, since the table's epoch.
 	packet  bvflow.Packet
 	trail   Trail
 	key     bvflow.Key
@@ -35,11 +36,14 @@
 	if r.view == nil {
 		return drop(ReasonNotConfigured)
 	}
-	s := r.view.services[address{unmap(p.Destination), p.Protocol}]
+	s := r.view.services[addressOf(p.Destination, p.Protocol)]
 	if s == nil {
 		return drop(ReasonUnknownService)
 	}
-	c := passage{Router: r, now: now, packet: p, trail: trail, key: r.view.hasher.Key(p.Tuple), service: s}
+	c := passage{
+		Router: r, now: now, seconds: r.table.Seconds(now), packet: p, trail: trail,
+		key: r.view.hasher.Key(p.Tuple), service: s,
+	}
 	if record.Kind != RecordNone {
 		return c.record(record)
 	}
@@ -64,15 +68,17 @@
 	if e == nil {
 		return nil
 	}
-	if c.table.Expired(c.now, e) {
+	if c.table.Expired(c.seconds, e) {
 		c.uncount(c.now, e)
 		c.table.Delete(c.key)
 		return nil
 	}
-	if t := c.target(e); c.opening() && t != nil && t.service != c.service && c.enabled(serviceChecks) {
-		c.uncount(c.now, e)
-		c.table.Delete(c.key)
-		return nil
+	if c.opening() && c.enabled(serviceChecks) {
+		if t := c.target(e); t != nil && t.service != c.service {
+			c.uncount(c.now, e)
+			c.table.Delete(c.key)
+			return nil
+		}
 	}
 	return e
 }
@@ -92,8 +98,10 @@
 }
 
 // idle returns the time since the entry's last packet.
-func (r *Router) idle(now time.Time, e *bvflow.Entry) time.Duration {
-	return time.Duration(int64(r.table.Seconds(now))-int64(e.Seen)) * time.Second
+func (c *passage) idle(e *bvflow.Entry) time.Duration { return age(c.seconds, e.Seen) }
+
+func age(now, then uint32) time.Duration {
+	return time.Duration(int64(now)-int64(then)) * time.Second
 }
 
 func (c *passage) findOwner() *node {
@@ -112,11 +120,11 @@
 // mayUse reports whether the entry decides here. Otherwise the owner is asked
 // first: a former owner's entry may be out of date once the caller has closed
 // the flow or has been silent for long, and a replica's record is for the time
-// when it becomes the owner. The owner in the base zone uses its record at
+// when it becomes the owner. The owner in the home zone uses its record at
 // once, since the owner would come back to ask it.
 func (c *passage) mayUse(e *bvflow.Entry) bool {
 	closed := e.State == bvflow.StateClosed || e.State == bvflow.StateClosing && c.opening()
-	if e.Has(bvflow.FlagOwner) && !closed && c.idle(c.now, e) <= c.options.OpeningWindow {
+	if e.Has(bvflow.FlagOwner) && !closed && c.idle(e) <= c.options.OpeningWindow {
 		return true
 	}
 	if c.selfOwns() {
@@ -128,17 +136,10 @@
 	if c.trail.Count > 0 || e.Has(bvflow.FlagOwner) && c.swept != c.generation {
 		return true
 	}
-	o := c.view.owner(c.key, c.baseZone())
+	o := c.view.owner(c.key, c.view.home(c.service, c.key))
 	return o != nil && o.ID == c.self
 }
 
-func (c *passage) baseZone() int {
-	if len(c.service.bases) == 0 {
-		return -1
-	}
-	return c.service.bases[0].zone(c.key)
-}
-
 // handTo hands the packet on to n, unless n has had it or is this node.
 func (c *passage) handTo(n *node) (d Decision, ok bool) {
 	if n == nil || n.ID == c.self || c.trail.Contains(n.ID) {
@@ -202,11 +203,11 @@
 	if !c.enabled(basePicking) {
 		t = c.service.current.upstream(c.key)
 	}
-	for _, z := range [2]int{c.configured, base} {
-		if z < 0 || z == c.view.selfZone || c.view.zones[z].out {
+	for _, z := range [3]int{c.configured, base, c.view.home(c.service, c.key)} {
+		if z < 0 || z == c.view.selfZone {
 			continue
 		}
-		if len(c.view.zones[z].active) == 0 {
+		if len(c.view.zones[z].active) == 0 && !c.view.zones[z].out {
 			return drop(ReasonNoOwner)
 		}
 		if d, ok := c.handTo(c.view.owner(c.key, z)); ok {
@@ -250,7 +251,7 @@
 	reason := ReasonNone
 	switch {
 	case t == nil:
-		return c.askMember()
+		return c.delegate(e)
 	case t.service != c.service && c.enabled(serviceChecks):
 		reason = ReasonUpstreamGone
 	default:
@@ -278,20 +279,15 @@
 	return c.send(e, t)
 }
 
-// askMember hands the packet of an exception whose upstream this node does
-// not know yet, for lack of the newest configuration, to another balancer that
-// has the exception.
-func (c *passage) askMember() Decision {
-	m := c.view.members(c.service, c.key)
-	for _, id := range m.ids[:m.count] {
-		if n, ok := c.view.peers[id]; ok && n.OtherVersion {
-			if d, ok := c.handTo(&n); ok {
-				d.Reason = ReasonUnknownUpstream
-				return d
-			}
-		}
-	}
-	return drop(ReasonUnknownUpstream)
+// delegate hands the packet of an exception whose upstream this node does not
+// know yet to the balancer with the newest configuration. The record goes
+// along, so that the receiver need not know the flow, and may have had the
+// packet before.
+func (c *passage) delegate(e *bvflow.Entry) Decision {
+	if c.view.newest == nil {
+		return drop(ReasonUnknownUpstream)
+	}
+	return c.handRecord(c.view.newest, Record{Kind: RecordPlaced, Upstream: bvconfig.UpstreamID(e.Upstream)})
 }
 
 // renewable reports whether an opening packet for a closed flow starts a new
@@ -303,20 +299,19 @@
 	if e.State == bvflow.StateClosed && !c.runsTwice() {
 		return true
 	}
-	return c.idle(c.now, e) > c.options.OpeningWindow
+	return c.idle(e) > c.options.OpeningWindow
 }
 
 // advance notes the packet in its entry.
 func (c *passage) advance(e *bvflow.Entry) {
-	seconds := c.table.Seconds(c.now)
-	e.Seen = seconds
+	e.Seen = c.seconds
 	switch c.packet.Phase {
 	case bvflow.PhaseEstablished:
 		if e.State == bvflow.StateOpening {
 			e.State = bvflow.StateEstablished
 		}
 	case bvflow.PhaseDatagram:
-		if e.State == bvflow.StateOpening && seconds-e.Replicated > uint32(datagramGrace/time.Second) {
+		if e.State == bvflow.StateOpening && age(c.seconds, e.Replicated) > datagramGrace {
 			e.State = bvflow.StateEstablished
 		}
 	case bvflow.PhaseClosing:
@@ -337,14 +332,13 @@
 	if !e.Has(bvflow.FlagOwner|bvflow.FlagException) || !c.enabled(replication) {
 		return c.toUpstream(t)
 	}
-	seconds := c.table.Seconds(c.now)
 	first := e.State == bvflow.StateOpening || c.opening()
-	due := e.Replicated == 0 || time.Duration(seconds-e.Replicated)*time.Second >= c.options.IdleTimeout/4
+	due := e.Replicated == 0 || age(c.seconds, e.Replicated) >= c.options.IdleTimeout/4
 	if !first && (!due || !c.enabled(refreshing)) {
 		return c.toUpstream(t)
 	}
 	if due {
-		e.Replicated = max(seconds, 1)
+		e.Replicated = max(c.seconds, 1)
 	}
 	rec := c.view.replicas(c.service, c.key)
 	rec.Kind, rec.Upstream = RecordPlaced, t.id
--- a/io/bvpeer/server.go
+++ b/io/bvpeer/server.go
@@ -5,6 +5,8 @@
 	"crypto/tls"
 	"encoding/binary"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"slices"
@@ -54,16 +56,28 @@
 	Parts    map[string][]byte `cbor:"2,keyasint,omitempty"`
 }
 
+type baseRequest struct {
+	Revision uint64 `cbor:"1,keyasint"`
+}
+
+type baseAnswer struct {
+	Manifest []byte            `cbor:"1,keyasint"`
+	Parts    map[string][]byte `cbor:"2,keyasint,omitempty"`
+	Age      uint64            `cbor:"3,keyasint"` // Milliseconds.
+}
+
 // Server answers the calls of peers.
 type Server struct {
 	handler     Handler
 	credentials Credentials
 	clock       clockwork.Clock
+	rejected    func()
 }
 
-// NewServer returns a server.
-func NewServer(h Handler, c Credentials, clock clockwork.Clock) *Server {
-	return &Server{handler: h, credentials: c, clock: clock}
+// NewServer returns a server. rejected is called for each call without a valid
+// signature.
+func NewServer(h Handler, c Credentials, clock clockwork.Clock, rejected func()) *Server {
+	return &Server{handler: h, credentials: c, clock: clock, rejected: rejected}
 }
 
 // HTTP returns the server as an HTTP handler that checks the shared key, or
@@ -73,11 +87,12 @@
 	m := http.NewServeMux()
 	m.Handle(procedureSync, connect.NewUnaryHandler(procedureSync, s.sync, o...))
 	m.Handle(procedurePush, connect.NewUnaryHandler(procedurePush, s.push, o...))
+	m.Handle(procedureBase, connect.NewUnaryHandler(procedureBase, s.base, o...))
 	m.Handle(procedureFetch, connect.NewUnaryHandler(procedureFetch, s.fetch, o...))
 	if s.credentials.TLS != nil {
 		return m
 	}
-	return authenticated(m, s.credentials.Keys, s.clock)
+	return authenticated(m, s.credentials.Keys, s.clock, s.rejected)
 }
 
 // Serve answers calls from l until ctx ends.
@@ -92,6 +107,8 @@
 		WriteTimeout:      30 * time.Second,
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    16 << 10,
+		// The default writes a line for each failed handshake.
+		ErrorLog: log.New(io.Discard, "", 0),
 	}
 	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
 	defer stop()
@@ -135,3 +152,13 @@
 	}
 	return connect.NewResponse(a), nil
 }
+
+func (s *Server) base(_ context.Context, r *connect.Request[baseRequest]) (*connect.Response[baseAnswer], error) {
+	b, age, ok := s.handler.Base(r.Msg.Revision)
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, errors.New("bvpeer: the revision is not retained"))
+	}
+	return connect.NewResponse(&baseAnswer{
+		Manifest: b.Manifest, Parts: b.Parts, Age: uint64(max(age, 0) / time.Millisecond),
+	}), nil
+}
