--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 
 quickstart:
 	./scripts/quickstart.sh
+
+bench: build
+	./bin/bvbench table
