Serve base configurations in the bench's peer

Cause: the bench's stand-in for a peer lacked a call added meanwhile. Change: it answers with the published configuration. Ruled out: a build tag.

--- a/bench/bvgroup/meter.go
+++ b/bench/bvgroup/meter.go
@@ -78,6 +78,10 @@
 func (a *answers) Push(bvconfig.NodeID, []bvnode.FlowRecord)             {}
 func (a *answers) Bundle() (bvplatform.Bundle, bool)                     { return published(a.bundle), true }
 
+func (a *answers) Base(uint64) (bvplatform.Bundle, time.Duration, bool) {
+	return published(a.bundle), time.Hour, true
+}
+
 func published(b bundle) bvplatform.Bundle {
 	return bvplatform.Bundle{Manifest: b.manifest, Parts: b.parts}
 }
