Record closes at all members, use unused shares, count headers in the sync budget

Owners did not see the close of flows whose packets the home zone's balancer delivered, so their connection counts only grew; closed exceptions filled the table; the share of a dead balancer stayed unused; the byte budget left out 630 bytes of headers a call, and empty sync answers were repeated every 100 ms. Ruled out: a short life for all closed exceptions, which breaks half-closed flows that wait for their answer (TestPromise1, half-closed).

--- a/core/bvflow/table.go
+++ b/core/bvflow/table.go
@@ -106,6 +106,9 @@
 // Full reports whether an insertion would fail.
 func (t *Table) Full() bool { return t.length >= t.max }
 
+// Pressed reports whether the table is more than half full.
+func (t *Table) Pressed() bool { return t.length > t.max/2 }
+
 // Seconds converts a time to seconds since the table's epoch.
 func (t *Table) Seconds(now time.Time) uint32 {
 	return uint32(max(now.Sub(t.epoch), 0) / time.Second)
@@ -206,13 +209,17 @@
 }
 
 // Lifetime returns how long e is kept after its last packet. Exceptions are
-// kept for the idle time even when closed, since replicas can't see the
-// close. A replica's record lives a quarter longer, because its owner renews
-// it only once in a quarter of the idle time.
+// kept for the idle time even when closed, since a flow that its caller has
+// closed may still wait for its answer, and can't be found again by its base
+// pick. Under pressure closed exceptions are the first to go. A replica's
+// record lives a quarter longer, because its owner renews it only once in a
+// quarter of the idle time.
 func (t *Table) Lifetime(e *Entry) time.Duration {
 	switch {
 	case e.State == StateRefused:
 		return t.lifetimes.Opening
+	case e.State >= StateClosing && e.Has(FlagException) && t.Pressed():
+		return 2 * t.lifetimes.Closing
 	case !e.Has(FlagOwner):
 		return t.lifetimes.Idle + t.lifetimes.Idle/4
 	case e.Has(FlagException):
--- a/core/bvlimit/bvlimit.go
+++ b/core/bvlimit/bvlimit.go
@@ -52,6 +52,7 @@
 	trustReports   bool // A report of a warm upstream ends its ramp.
 	shareAlways    bool // A joining balancer uses its share.
 	noPanic        bool // Any number of upstreams may be ejected.
+	noSpare        bool // Shares of connections are never exceeded.
 	exemptIfNoWarm bool // The budget is lifted if all upstreams are cold.
 }
 
@@ -261,7 +262,7 @@
 	if x.bad && l.ejected(x, at) {
 		return false
 	}
-	if x.share >= 0 && x.open >= x.share {
+	if x.share >= 0 && x.open >= x.share && !l.spare(x, at) {
 		return false
 	}
 	exempt := l.options.exemptIfNoWarm && l.allCold(x.service, at)
@@ -273,6 +274,22 @@
 	return true
 }
 
+// spareFraction is the part of an upstream's connections up to which a fresh
+// report lets a balancer go beyond its share. The rest covers what all
+// balancers open until the next report.
+const spareFraction = 0.9
+
+// spare reports whether a warm upstream has connections left beyond this
+// balancer's share of them. A share is unused while another balancer of the
+// zone is dead; the rates of cold upstreams stay shared in any case.
+func (l *Limiter) spare(x *upstream, at time.Duration) bool {
+	if !x.reported || at-x.reportedAt > l.options.ReportAge || x.report.State != StateWarm || l.options.noSpare {
+		return false
+	}
+	most := int(float64(x.Connections) * spareFraction)
+	return at-x.rampStart >= x.WarmUp && x.report.OpenConnections < most && x.open < most
+}
+
 func (l *Limiter) allCold(s *service, at time.Duration) bool {
 	return !slices.ContainsFunc(s.members, func(x *upstream) bool { return at-x.rampStart >= x.WarmUp })
 }
--- a/core/bvnode/bvnode.go
+++ b/core/bvnode/bvnode.go
@@ -49,9 +49,9 @@
 	// node, and may hold exceptions that it needs; configurations are in force
 	// everywhere within seconds.
 	unheardLimit = 10 * time.Second
-	// expireSlots is the number of table slots looked at in a tick. A table of
-	// 500,000 flows is gone through in 100 s.
-	expireSlots = 512
+	// expireTicks is the number of ticks in which the whole table is looked at
+	// for expired entries.
+	expireTicks = 100
 )
 
 // Options are what a node needs to know of itself.
--- a/core/bvnode/tick.go
+++ b/core/bvnode/tick.go
@@ -19,7 +19,7 @@
 	as = append(as, n.missingBases(now)...)
 	n.activate(now)
 	n.enableShare(now)
-	n.router.Expire(now, expireSlots)
+	n.router.Expire(now, n.table.Len()/expireTicks+expireTicks)
 	n.limiter.SetPressure(float64(n.table.Len())/float64(n.table.Max()), n.queueOver)
 	n.moveBase(now)
 	as = append(as, n.pushes(now)...)
--- a/core/bvroute/bvroute.go
+++ b/core/bvroute/bvroute.go
@@ -71,6 +71,7 @@
 	leavingChecks                         // No new flows to leaving upstreams.
 	tombstones                            // Refusals are recorded.
 	certainRefusals                       // Only a long-time owner refuses.
+	closingRecords                        // Closing packets go through the members.
 	handovers                             // Sweeps send records to new members.
 	openingWindow                         // Openings with payload are dropped after a change of owner.
 	outages                               // Entries from before a zone was taken out are void.
--- a/core/bvroute/decision.go
+++ b/core/bvroute/decision.go
@@ -47,6 +47,7 @@
 	RecordNone    RecordKind = iota
 	RecordPlaced             // The flow is at Record.Upstream.
 	RecordRefused            // The opening was refused and must not run later.
+	RecordClosing            // The flow is at Record.Upstream and the caller has closed it.
 )
 
 // Record is an exception that travels with an opening packet through the
--- a/core/bvroute/promise_test.go
+++ b/core/bvroute/promise_test.go
@@ -319,3 +319,25 @@
 		return f.broken(cs)
 	}}})
 }
+
+// TestClosedFlowsAreNotCounted guards against limits that fill up with flows
+// that have ended: another balancer than the owner may get the closing packet
+// and know the upstream.
+func TestClosedFlowsAreNotCounted(t *testing.T) {
+	runPromise(t, []promiseCase{{"zone returns", closingRecords, func(f *fleet) int {
+		f.publish(zoneOut("b", true), 1)
+		f.sweep()
+		f.publish(zoneOut("b", false), 1)
+		for _, c := range f.openMany(0, 500) {
+			f.send(c, bvflow.PhaseEstablished, 1)
+			f.send(c, bvflow.PhaseClosing, 0)
+		}
+		open := 0
+		for _, n := range f.nodes {
+			for _, count := range n.limiter.open {
+				open += count
+			}
+		}
+		return open
+	}}})
+}
--- a/core/bvroute/record.go
+++ b/core/bvroute/record.go
@@ -17,7 +17,7 @@
 		}
 	}
 	t := c.view.upstreams[rec.Upstream]
-	if rec.Kind == RecordPlaced && t != nil {
+	if rec.Kind != RecordRefused && t != nil {
 		if t.service != c.service && c.enabled(serviceChecks) {
 			return drop(ReasonUpstreamGone)
 		}
@@ -118,23 +118,30 @@
 			return true
 		}
 	}
-	if e.Upstream != uint64(rec.Upstream) || rec.Kind == RecordRefused {
+	if e.Upstream != uint64(rec.Upstream) || rec.Kind != RecordPlaced {
 		c.uncount(c.now, e)
 	}
+	owner := e.Flags & bvflow.FlagOwner
 	set(e, rec.Kind, rec.Upstream)
+	if rec.Kind == RecordClosing {
+		e.Flags |= owner
+	}
 	e.Seen = c.seconds
 	e.Replicated = max(e.Seen, 1)
 	return true
 }
 
-// set turns e into a replica's record. Records are kept as established, since
-// replicas do not see how the flow goes on.
+// set turns e into a replica's record. Records are kept as established until
+// the flow closes, since replicas do not see how it goes on.
 func set(e *bvflow.Entry, kind RecordKind, u bvconfig.UpstreamID) {
 	e.Upstream = uint64(u)
 	e.Flags = e.Flags&(bvflow.FlagCounted|bvflow.FlagDatagram) | bvflow.FlagException
 	e.State = bvflow.StateEstablished
-	if kind == RecordRefused {
+	switch kind {
+	case RecordRefused:
 		e.State = bvflow.StateRefused
+	case RecordClosing:
+		e.State = bvflow.StateClosing
 	}
 }
 
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -116,6 +116,11 @@
 	return c.view.upstreams[bvconfig.UpstreamID(e.Upstream)]
 }
 
+// ends reports whether the packet closes its flow.
+func (c *passage) ends() bool {
+	return c.packet.Phase == bvflow.PhaseClosing || c.packet.Phase == bvflow.PhaseReset
+}
+
 func (c *passage) opening() bool { return c.packet.Phase == bvflow.PhaseOpening }
 
 func (c *passage) datagram() bool { return c.packet.Phase == bvflow.PhaseDatagram }
@@ -359,15 +364,27 @@
 	}
 }
 
+// renewAfter returns the time after which an exception is renewed at its
+// replicas: a quarter of what they keep it for.
+func (c *passage) renewAfter(e *bvflow.Entry) time.Duration {
+	if e.State >= bvflow.StateClosing {
+		return c.table.Lifetime(e) / 4
+	}
+	return c.options.IdleTimeout / 4
+}
+
 // send sends the packet to its upstream, through the replica set if that may
 // not know the flow yet. Owners renew exceptions four times in the idle
 // timeout in this way, since the replicas see no other packets of the flow.
+// Closing packets go through all members, whoever has received them, so that
+// the owner stops counting the flow and no member keeps it for the idle time.
 func (c *passage) send(e *bvflow.Entry, t *target) Decision {
-	if !e.Has(bvflow.FlagOwner|bvflow.FlagException) || !c.enabled(replication) {
+	ends := c.ends() && c.enabled(closingRecords)
+	if !e.Has(bvflow.FlagException) || !e.Has(bvflow.FlagOwner) && !ends || !c.enabled(replication) {
 		return t.decision()
 	}
-	first := e.State == bvflow.StateOpening || c.opening()
-	due := e.Replicated == 0 || age(c.seconds, e.Replicated) >= c.options.IdleTimeout/4
+	first := e.State == bvflow.StateOpening || c.opening() || ends
+	due := e.Replicated == 0 || age(c.seconds, e.Replicated) >= c.renewAfter(e)
 	if !first && (!due || !c.enabled(refreshing)) {
 		return t.decision()
 	}
@@ -376,6 +393,9 @@
 	}
 	rec := c.view.replicas(c.service, c.key)
 	rec.Kind, rec.Upstream = RecordPlaced, t.id
+	if e.State >= bvflow.StateClosing && c.enabled(closingRecords) {
+		rec.Kind = RecordClosing
+	}
 	if d, ok := c.toReplica(rec); ok {
 		return d
 	}
--- a/core/bvroute/sweep.go
+++ b/core/bvroute/sweep.go
@@ -75,7 +75,8 @@
 		e.Flags |= bvflow.FlagException
 		e.Replicated = 0
 	}
-	if !e.Has(bvflow.FlagException) {
+	r.recount(now, e, t)
+	if !e.Has(bvflow.FlagException) || r.ended(now, e) {
 		return h, false
 	}
 	var old members
@@ -98,6 +99,36 @@
 	return h, h.Count > 0
 }
 
+// recount adds or removes an entry that this node has started or ceased to
+// own. A former owner does not see how the flow goes on.
+func (r *Router) recount(now time.Time, e *bvflow.Entry, t *target) {
+	if !e.Has(bvflow.FlagOwner) {
+		return
+	}
+	_, placing := r.view.placing(t.service, e.Key)
+	o := r.view.owner(e.Key, placing)
+	switch {
+	case o == nil:
+	case o.ID != r.self:
+		r.uncount(now, e)
+	case e.State <= bvflow.StateEstablished:
+		r.count(now, e)
+	}
+}
+
+// endedAfter is the silence after which a closed flow is taken for ended while
+// the table is under pressure.
+const endedAfter = 5 * time.Second
+
+// ended reports whether the record of a closed flow is not sent to new
+// members. With many short flows the closed ones would take the whole byte
+// budget; otherwise they are sent, since a half-closed flow may be silent while
+// it waits for its answer.
+func (r *Router) ended(now time.Time, e *bvflow.Entry) bool {
+	return r.table.Pressed() && e.State >= bvflow.StateClosing && e.State != bvflow.StateRefused &&
+		age(r.table.Seconds(now), e.Seen) > endedAfter
+}
+
 // placedBetween reports whether the entry's replica set is that of a view
 // after the baseline.
 func (r *Router) placedBetween(e *bvflow.Entry) bool {
@@ -117,8 +148,11 @@
 
 func newHandover(e *bvflow.Entry) Handover {
 	h := Handover{Key: e.Key, Kind: RecordPlaced, Upstream: bvconfig.UpstreamID(e.Upstream)}
-	if e.State == bvflow.StateRefused {
+	switch {
+	case e.State == bvflow.StateRefused:
 		h.Kind = RecordRefused
+	case e.State >= bvflow.StateClosing:
+		h.Kind = RecordClosing
 	}
 	return h
 }
@@ -132,7 +166,7 @@
 	}
 	v := r.view.with(peer)
 	next, done = r.table.Range(cursor, work, func(e *bvflow.Entry) bool {
-		if !e.Has(bvflow.FlagException) || e.Has(bvflow.FlagVoid) || r.table.Expired(r.table.Seconds(now), e) || !r.concernsPeer(v, e, peer) {
+		if !e.Has(bvflow.FlagException) || e.Has(bvflow.FlagVoid) || r.ended(now, e) || r.table.Expired(r.table.Seconds(now), e) || !r.concernsPeer(v, e, peer) {
 			return true
 		}
 		h := newHandover(e)
--- a/core/bvsync/bvsync.go
+++ b/core/bvsync/bvsync.go
@@ -28,6 +28,10 @@
 	"balsamvane/core/bvroute"
 )
 
+// CallBytes is what a control call costs besides its records: the headers of
+// request and answer, measured with the shared key at 600 to 630 bytes.
+const CallBytes = 630
+
 // RecordBytes is the size of a record in a message: a key of 16 bytes and an
 // upstream of 8.
 const RecordBytes = 24
@@ -39,6 +43,11 @@
 	Upstream bvconfig.UpstreamID
 }
 
+// answerSlots is the number of table slots looked at for one answer. It takes
+// about a millisecond, and a table of 500,000 flows is gone through in eight
+// answers.
+const answerSlots = 1 << 16
+
 // Batch is what one peer has to store. Sequence numbers are unique for a
 // Sweeper.
 type Batch struct {
@@ -58,7 +67,7 @@
 
 // Options bound the work of a Sweeper. Zero values stand for the defaults.
 type Options struct {
-	BytesPerSecond int           // Default 2,000, of the 3 KB/s for all control traffic.
+	BytesPerSecond int           // Default 2,000, of the 3 KB/s for all control traffic; headers count.
 	BatchBytes     int           // Default 1,200, which fits one packet.
 	SlotsPerCall   int           // Table slots looked at in one call; default 8,192.
 	RetryAfter     time.Duration // Default 3 s.
@@ -135,7 +144,7 @@
 		if !ok {
 			break
 		}
-		s.budget -= float64(len(b.Records) * RecordBytes)
+		s.budget -= float64(len(b.Records)*RecordBytes + CallBytes)
 		s.inFlight = append(s.inFlight, inFlight{b, now.Add(s.options.RetryAfter), s.options.RetryAfter})
 		out = append(out, b)
 	}
@@ -161,7 +170,7 @@
 		s.budget += now.Sub(s.filled).Seconds() * float64(s.options.BytesPerSecond)
 	}
 	s.filled = now
-	s.budget = min(s.budget, float64(max(s.options.BytesPerSecond, s.options.BatchBytes)))
+	s.budget = min(s.budget, float64(max(s.options.BytesPerSecond, s.options.BatchBytes+CallBytes)))
 }
 
 // retries returns the batches whose acknowledgement is overdue, within the
@@ -174,7 +183,7 @@
 		}
 		f.retry = min(2*f.retry, s.options.MaxRetry)
 		f.due = now.Add(f.retry)
-		s.budget -= float64(len(f.Records) * RecordBytes)
+		s.budget -= float64(len(f.Records)*RecordBytes + CallBytes)
 		out = append(out, f.Batch)
 	}
 	return out
@@ -237,7 +246,7 @@
 // of them. next is where the following request goes on; done marks the last
 // answer.
 func (s *Sweeper) Answer(now time.Time, peer bvconfig.NodeID, cursor uint64, bytes int) (records []Record, next uint64, done bool) {
-	found, next, done := s.source.HandoversTo(now, peer, cursor, s.options.SlotsPerCall, max(bytes/RecordBytes, 1), nil)
+	found, next, done := s.source.HandoversTo(now, peer, cursor, answerSlots, max(bytes/RecordBytes, 1), nil)
 	for _, h := range found {
 		records = append(records, Record{h.Key, h.Kind, h.Upstream})
 	}
--- a/io/bvpeer/bvpeer.go
+++ b/io/bvpeer/bvpeer.go
@@ -99,14 +99,18 @@
 type records struct {
 	Placed  []byte `cbor:"1,keyasint,omitempty"`
 	Refused []byte `cbor:"2,keyasint,omitempty"`
+	Closing []byte `cbor:"3,keyasint,omitempty"`
 }
 
 func encodeRecords(l []bvnode.FlowRecord) records {
 	var w records
 	for _, r := range l {
 		to := &w.Placed
-		if r.Kind == bvroute.RecordRefused {
+		switch r.Kind {
+		case bvroute.RecordRefused:
 			to = &w.Refused
+		case bvroute.RecordClosing:
+			to = &w.Closing
 		}
 		*to = append(*to, r.Key[:]...)
 		*to = appendUint64(*to, uint64(r.Upstream))
@@ -115,11 +119,12 @@
 }
 
 func (w records) decode() ([]bvnode.FlowRecord, error) {
-	if len(w.Placed)%recordSize != 0 || len(w.Refused)%recordSize != 0 {
+	if len(w.Placed)%recordSize != 0 || len(w.Refused)%recordSize != 0 || len(w.Closing)%recordSize != 0 {
 		return nil, ErrRecords
 	}
-	out := make([]bvnode.FlowRecord, 0, (len(w.Placed)+len(w.Refused))/recordSize)
+	out := make([]bvnode.FlowRecord, 0, (len(w.Placed)+len(w.Refused)+len(w.Closing))/recordSize)
 	out = appendRecords(out, w.Placed, bvroute.RecordPlaced)
+	out = appendRecords(out, w.Closing, bvroute.RecordClosing)
 	return appendRecords(out, w.Refused, bvroute.RecordRefused), nil
 }
 
--- a/io/bvtunnel/codec.go
+++ b/io/bvtunnel/codec.go
@@ -206,7 +206,7 @@
 		return ErrOption
 	}
 	switch k := bvroute.RecordKind(b[0]); k {
-	case bvroute.RecordPlaced, bvroute.RecordRefused:
+	case bvroute.RecordPlaced, bvroute.RecordRefused, bvroute.RecordClosing:
 		p.Record.Kind = k
 	default:
 		return ErrOption
