Move the base only together and transfer what has left base lists

Cause: a node that moved its base alone, or that joined after a zone had left and returned, computed other base picks than its peers. Change: heartbeats announce readiness; the base moves when all published peers are ready and none was lost within the idle timeout; sync answers carry what has left the base lists. Ruled out: moving with a majority of peers, whose late members would still use the former picks.

--- a/core/bvmember/bvmember.go
+++ b/core/bvmember/bvmember.go
@@ -103,6 +103,7 @@
 	accused time.Time
 	due     time.Time // Of the next heartbeat to it.
 	rank    uint64
+	ready   uint64 // The ready revision of the last heartbeat.
 	// declared is true if another peer takes this one for dead.
 	declared bool
 }
@@ -124,6 +125,7 @@
 	state       State
 	version     bvconfig.Version
 	base        uint64
+	ready       uint64
 	rejected    bvconfig.Version
 	peers       map[bvconfig.NodeID]*peer
 	order       []*peer // By node ID.
@@ -281,7 +283,7 @@
 // Self returns the heartbeat that this node sends now.
 func (m *Members) Self(now time.Time) Heartbeat {
 	h := Heartbeat{
-		Node: m.self, Incarnation: m.incarnation, State: m.state, Version: m.version, BaseRevision: m.base,
+		Node: m.self, Incarnation: m.incarnation, State: m.state, Version: m.version, BaseRevision: m.base, ReadyRevision: m.ready,
 		PlatformAge: NoContact,
 	}
 	if !m.contact.IsZero() {
@@ -319,3 +321,17 @@
 	}
 	return m.options.HeartbeatAcross
 }
+
+// SetReady records the revision to which this node could move its base, or 0.
+func (m *Members) SetReady(revision uint64) { m.ready = revision }
+
+// AllReady reports whether every published peer is alive and has moved its base
+// to the revision or is ready to.
+func (m *Members) AllReady(revision uint64) bool {
+	for _, p := range m.order {
+		if !p.Alive || p.ready != revision && p.BaseRevision != revision {
+			return false
+		}
+	}
+	return true
+}
--- a/core/bvmember/change.go
+++ b/core/bvmember/change.go
@@ -185,7 +185,7 @@
 // learn takes from a heartbeat what holds whether or not its sender counts as
 // alive.
 func (m *Members) learn(now time.Time, p *peer, h Heartbeat) {
-	p.Version, p.BaseRevision = h.Version, h.BaseRevision
+	p.Version, p.BaseRevision, p.ready = h.Version, h.BaseRevision, h.ReadyRevision
 	for _, d := range h.Dead {
 		q := m.peers[d.Node]
 		if q == nil {
--- a/core/bvmember/heartbeat.go
+++ b/core/bvmember/heartbeat.go
@@ -24,6 +24,9 @@
 	Version     bvconfig.Version
 	// BaseRevision is the revision whose upstream lists give the base picks.
 	BaseRevision uint64
+	// ReadyRevision is the revision to which the sender could move its base;
+	// 0 if there is none.
+	ReadyRevision uint64
 	// PlatformAge is the time since the last successful platform contact.
 	PlatformAge time.Duration
 	// Dead lists the peers that the sender considers dead.
--- a/core/bvnode/bvnode.go
+++ b/core/bvnode/bvnode.go
@@ -118,6 +118,8 @@
 	watching   bool
 	stale      bool // The picture has to be compiled again.
 	candidate  uint64
+	lostAt     time.Time // When a peer was last lost with its flow table.
+	left       map[uint64]LeftBase
 	bootstrap  time.Time // Of the next read without a configuration.
 	token      uint64
 	refresh    refresh
@@ -144,6 +146,7 @@
 		limiter: bvlimit.New(bvlimit.Options{}),
 		retired: map[bvconfig.UpstreamID]bvconfig.Upstream{},
 		pulls:   map[bvconfig.NodeID]*pull{}, bases: map[uint64]time.Time{},
+		left: map[uint64]LeftBase{},
 	}
 	n.members = bvmember.New(n.self, o.Zone, o.Incarnation, bvmember.Options{Seed: o.Seed})
 	lifetimes := bvflow.DefaultLifetimes
--- a/core/bvnode/event.go
+++ b/core/bvnode/event.go
@@ -113,6 +113,8 @@
 	Records      []FlowRecord
 	Warm         []WarmState
 	BaseRevision uint64
+	// Left is what has left the peer's bases.
+	Left []LeftBase
 	// Cursor is where the next request goes on; Done marks the last part.
 	Cursor uint64
 	Done   bool
--- a/core/bvnode/picture.go
+++ b/core/bvnode/picture.go
@@ -7,7 +7,6 @@
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvfinding"
 	"balsamvane/core/bvlimit"
-	"balsamvane/core/bvmember"
 	"balsamvane/core/bvroute"
 )
 
@@ -49,7 +48,7 @@
 
 func (n *Node) accepted(now time.Time, before, c bvconfig.Config) {
 	if n.knownSince.IsZero() {
-		n.knownSince = now
+		n.knownSince, n.lostAt = now, now
 	}
 	n.retire(before, c)
 	n.members.SetBalancers(now, c.Balancers)
@@ -107,6 +106,7 @@
 	base, _ := n.store.Base()
 	n.members.SetVersion(c.Version, base.Config.Version.Revision)
 	n.store.Prune(n.members.LowestBase())
+	n.forgetLeft()
 	p := bvroute.Picture{State: n.members.State(), Config: c, Bases: n.basesInUse(base)}
 	for _, u := range n.retired {
 		p.Retired = append(p.Retired, u)
@@ -144,64 +144,6 @@
 	return 0
 }
 
-// adoptLowestBase moves a joining node's base down to that of its peers.
-func (n *Node) adoptLowestBase() {
-	low := uint64(0)
-	for _, p := range n.members.Peers() {
-		if p.Alive && p.State == bvmember.StateActive && p.BaseRevision > 0 && (low == 0 || p.BaseRevision < low) {
-			low = p.BaseRevision
-		}
-	}
-	n.adoptBase(low)
-}
-
-// basesInUse returns the node's own base, those of its live peers, and the
-// revision that the base is to move to. A flow that differs from the pick at
-// any of them is an exception.
-func (n *Node) basesInUse(base bvconfig.Generation) []bvroute.Base {
-	revisions := []uint64{base.Config.Version.Revision}
-	add := func(r uint64) {
-		if r != 0 && !slices.Contains(revisions, r) {
-			revisions = append(revisions, r)
-		}
-	}
-	for _, p := range n.members.Peers() {
-		if p.Alive {
-			add(p.BaseRevision)
-		}
-	}
-	slices.Sort(revisions[1:])
-	add(n.candidate)
-	var bs []bvroute.Base
-	for _, r := range revisions {
-		if g, ok := n.store.At(r); ok {
-			bs = append(bs, bvroute.Base{Revision: r, Upstreams: g.Config.Upstreams})
-		}
-	}
-	return bs
-}
-
-// moveBase moves the base revision up. The candidate first counts as a second
-// base, so that the sweep turns all flows that differ from it into exceptions;
-// once the replicas have these, it becomes the base.
-func (n *Node) moveBase(now time.Time) {
-	g, ok := n.store.BaseCandidate(now)
-	if !ok || n.members.State() != bvmember.StateActive {
-		return
-	}
-	r := g.Config.Version.Revision
-	if n.candidate != r {
-		n.candidate, n.stale = r, true
-		return
-	}
-	if !n.sweeper.Complete() {
-		return
-	}
-	if err := n.store.SetBase(now, r); err == nil {
-		n.candidate, n.stale = 0, true
-	}
-}
-
 // probes returns the upstreams that this node probes: those of its own zone,
 // since only balancers of the zone place flows on them.
 func (n *Node) probes(c bvconfig.Config) SetProbes {
--- a/core/bvnode/records.go
+++ b/core/bvnode/records.go
@@ -74,6 +74,9 @@
 		ws = append(ws, bvlimit.WarmState{Upstream: w.Upstream, Age: w.Age})
 	}
 	n.limiter.LearnWarm(now, ws)
+	if n.enabled(transferLeft) {
+		n.learnLeft(ev.Left)
+	}
 	q := n.pulls[ev.From]
 	if q == nil {
 		return
@@ -150,22 +153,10 @@
 		for _, w := range n.limiter.Warm(now) {
 			a.Warm = append(a.Warm, WarmState{Upstream: w.Upstream, Age: w.Age})
 		}
+		a.Left = n.leftBases()
 		if b, ok := n.store.Base(); ok {
 			a.BaseRevision = b.Config.Version.Revision
 		}
 	}
 	return a
 }
-
-// adoptBase takes over a peer's base revision, since all nodes of a group have
-// to compute the same base picks. A revision that is still missing is fetched
-// later and adopted when the picture is compiled.
-func (n *Node) adoptBase(revision uint64) {
-	b, ok := n.store.Base()
-	if !ok || revision == 0 || n.members.State() != bvmember.StateJoining || revision >= b.Config.Version.Revision {
-		return
-	}
-	if err := n.store.AdoptBase(revision); err == nil {
-		n.stale = true
-	}
-}
--- a/core/bvnode/safeguard.go
+++ b/core/bvnode/safeguard.go
@@ -22,6 +22,8 @@
 	openingPayload                          // Openings with a request are tied to one upstream.
 	refusalRecords                          // Refusals are recorded by the replica set.
 	unheardPeers                            // A new node waits for peers that it has not heard.
+	commonBase                              // The base moves once all peers are ready.
+	transferLeft                            // A joining node learns what has left the base lists.
 )
 
 func (n *Node) enabled(s safeguard) bool { return n.options.disabled&s == 0 }
--- a/core/bvnode/tick.go
+++ b/core/bvnode/tick.go
@@ -44,8 +44,12 @@
 		switch c := c.(type) {
 		case bvmember.PeerDead:
 			delete(n.pulls, c.Node)
+			n.lostAt = now
 		case bvmember.PeerAlive:
 			delete(n.pulls, c.Node)
+			if c.Returned {
+				n.lostAt = now
+			}
 		case bvmember.SelfPaused:
 			as = append(as, n.startRefresh(now)...)
 		case bvmember.SelfDeclaredDead:
@@ -202,37 +206,3 @@
 	}
 	return false
 }
-
-// baseKnown reports whether the node has the upstream lists of all base
-// revisions that live peers use.
-func (n *Node) baseKnown() bool {
-	for _, p := range n.members.Peers() {
-		if !p.Alive || p.BaseRevision == 0 {
-			continue
-		}
-		if _, ok := n.store.At(p.BaseRevision); !ok {
-			return false
-		}
-	}
-	return true
-}
-
-// missingBases asks peers for base revisions that this node does not have.
-func (n *Node) missingBases(now time.Time) []Action {
-	if n.knownSince.IsZero() {
-		return nil
-	}
-	var as []Action
-	for _, p := range n.members.Peers() {
-		if !p.Alive || p.BaseRevision == 0 || now.Sub(n.bases[p.BaseRevision]) < bootstrapInterval {
-			continue
-		}
-		if _, ok := n.store.At(p.BaseRevision); ok {
-			delete(n.bases, p.BaseRevision)
-			continue
-		}
-		n.bases[p.BaseRevision] = now
-		as = append(as, FetchBase{From: p.Node, Control: p.Control, Revision: p.BaseRevision})
-	}
-	return as
-}
--- a/io/bvpeer/server.go
+++ b/io/bvpeer/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvnode"
 
 	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
@@ -36,6 +37,38 @@
 	BaseRevision uint64      `cbor:"4,keyasint,omitempty"`
 	Cursor       uint64      `cbor:"5,keyasint,omitempty"`
 	Done         bool        `cbor:"6,keyasint,omitempty"`
+	Left         []leftBase  `cbor:"7,keyasint,omitempty"`
+}
+
+// leftBase is the wire form of [bvnode.LeftBase].
+type leftBase struct {
+	Revision uint64   `cbor:"1,keyasint"`
+	ZonesOut []string `cbor:"2,keyasint,omitempty"`
+	Gone     []uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+func encodeLeft(ls []bvnode.LeftBase) []leftBase {
+	out := make([]leftBase, 0, len(ls))
+	for _, l := range ls {
+		w := leftBase{Revision: l.Revision, ZonesOut: l.ZonesOut}
+		for _, u := range l.Gone {
+			w.Gone = append(w.Gone, uint64(u))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func decodeLeft(ls []leftBase) []bvnode.LeftBase {
+	var out []bvnode.LeftBase
+	for _, w := range ls {
+		l := bvnode.LeftBase{Revision: w.Revision, ZonesOut: w.ZonesOut}
+		for _, u := range w.Gone {
+			l.Gone = append(l.Gone, bvconfig.UpstreamID(u))
+		}
+		out = append(out, l)
+	}
+	return out
 }
 
 type pushRequest struct {
@@ -127,6 +160,7 @@
 		BaseRevision: a.BaseRevision,
 		Cursor:       a.Cursor,
 		Done:         a.Done,
+		Left:         encodeLeft(a.Left),
 	}), nil
 }
 
--- a/io/bvtunnel/heartbeat.go
+++ b/io/bvtunnel/heartbeat.go
@@ -23,6 +23,7 @@
 	BaseRevision uint64     `cbor:"6,keyasint,omitempty"`
 	PlatformAge  uint64     `cbor:"7,keyasint,omitempty"` // Milliseconds.
 	Dead         []deadPeer `cbor:"8,keyasint,omitempty"`
+	Ready        uint64     `cbor:"9,keyasint,omitempty"`
 }
 
 type deadPeer struct {
@@ -58,6 +59,7 @@
 		Revision:     b.Version.Revision,
 		Hash:         b.Version.Hash,
 		BaseRevision: b.BaseRevision,
+		Ready:        b.ReadyRevision,
 		PlatformAge:  uint64(max(b.PlatformAge, 0) / time.Millisecond),
 	}
 	for _, d := range b.Dead[:min(len(b.Dead), maxDead)] {
@@ -102,12 +104,13 @@
 		return bvmember.Heartbeat{}, ErrHeartbeat
 	}
 	out := bvmember.Heartbeat{
-		Node:         bvconfig.NodeID(w.Node),
-		Incarnation:  w.Incarnation,
-		State:        bvmember.State(w.State),
-		Version:      bvconfig.Version{Revision: w.Revision, Hash: w.Hash},
-		BaseRevision: w.BaseRevision,
-		PlatformAge:  time.Duration(w.PlatformAge) * time.Millisecond,
+		Node:          bvconfig.NodeID(w.Node),
+		Incarnation:   w.Incarnation,
+		State:         bvmember.State(w.State),
+		Version:       bvconfig.Version{Revision: w.Revision, Hash: w.Hash},
+		BaseRevision:  w.BaseRevision,
+		ReadyRevision: w.Ready,
+		PlatformAge:   time.Duration(w.PlatformAge) * time.Millisecond,
 	}
 	for _, d := range w.Dead {
 		out.Dead = append(out.Dead, bvmember.DeadPeer{Node: bvconfig.NodeID(d.Node), Incarnation: d.Incarnation})
