Keep openings in their zone while a balancer joins

Cause: a balancer that resumes after a freeze processes the openings that waited in its socket while it is joining. One that had come from the only other balancer of the zone could not go back there and was handed to another zone, which placed it with its own VM, while the next copy was placed by the new owner. The flow then had two upstreams; the connection was reset or timed out.

Change: a joining balancer asks only the zone that places the flow about an opening, and drops it if all balancers there have had it; the caller's next copy is placed. Packets of open flows go to other zones as before.

Result: the new test fails without the change.

--- /dev/null
+++ b/core/bvnode/handed_test.go
@@ -0,0 +1,45 @@
+package bvnode
+
+import (
+	"testing"
+	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvmember"
+	"balsamvane/core/bvroute"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestPromise1OpeningAfterPause guards against an opening that has waited in
+// the socket of a frozen balancer, has come there from the only other balancer
+// of its zone, and is then handed to another zone, which places it there, while
+// the next copy is placed in the right zone.
+func TestPromise1OpeningAfterPause(t *testing.T) {
+	g := newGroup(t, sample(1, 2, 3), 0)
+	g.run(8 * time.Second)
+	g.requireActive()
+	g.paused["lb-a0"] = true
+	g.run(1500 * time.Millisecond)
+	n := g.nodes["lb-a0"]
+	// The node notices the pause and has the platform's answer, but none of its
+	// peers has told it what they know.
+	n.Handle(g.now, Tick{})
+	n.Handle(g.now, PlatformContacted{Token: n.token})
+	require.Equal(t, bvmember.StateJoining, n.members.State())
+	inA := 0
+	for f := range 200 {
+		p := packet(f, bvflow.PhaseOpening)
+		if n.Explain(g.now, p.Tuple).PlacingZone != "a" {
+			continue
+		}
+		inA++
+		d := n.Packet(g.now, p, bvroute.Trail{}, bvroute.Record{})
+		assert.Equal(t, bvconfig.NodeIDOf("lb-a1"), d.Next, "flow %d from the fabric", f)
+		d = n.Packet(g.now, p, bvroute.Trail{}.With(bvconfig.NodeIDOf("lb-a1")), bvroute.Record{})
+		assert.Equal(t, bvroute.VerdictDrop, d.Verdict, "flow %d from lb-a1", f)
+	}
+	assert.NotZero(t, inA)
+}
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -169,7 +169,9 @@
 }
 
 // unsynced returns the highest-ranked active peer that may know the flow and
-// has not told this node yet, and that has not had the packet.
+// has not told this node yet, and that has not had the packet. A joining node
+// asks only the zone that places the flow about an opening: another zone would
+// place it there, while a later copy is placed where it belongs.
 func (c *passage) unsynced() *node {
 	joining := c.view.state != bvmember.StateActive
 	if c.view.synced && !joining {
@@ -177,6 +179,9 @@
 	}
 	for zi := c.service.current.zone(c.key); zi >= 0; zi = bvpick.Next(c.key, c.service.current.zones, zi) {
 		z := &c.view.zones[zi]
+		if joining && c.opening() && zi != c.placing {
+			continue
+		}
 		for i := bvpick.Best(c.key, z.active); i >= 0; i = bvpick.Next(c.key, z.active, i) {
 			n := &z.nodes[i]
 			if n.ID != c.self && (joining || !n.InSync) && !c.trail.Contains(n.ID) {
