Measure slopes, the importer and packets through one process

Cause: docs/CAPACITY.md derives each role's cost from measured slopes, and section 1.8 has a target against a bare relay.

Ruled out: a run in one process, where the generator, the relay and the balancer would share their garbage collector.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,7 @@
 
 bench: build
 	./bin/bvbench table
+	./scripts/bench-relay.sh
+
+slopes: build
+	./bin/bvbench slopes
--- /dev/null
+++ b/bench/bvbaseline/bvbaseline_test.go
@@ -0,0 +1,30 @@
+package bvbaseline
+
+import (
+	"testing"
+
+	"balsamvane/core/bvflow"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestBloom guards against a filter that forgets entries or says yes to all.
+func TestBloom(t *testing.T) {
+	h := bvflow.NewHasher(1)
+	key := func(i int) bvflow.Key {
+		return h.Key(bvflow.Tuple{Protocol: bvflow.Protocol(i % 256)})
+	}
+	b := newBloom(100, 10)
+	for i := range 100 {
+		b.add(key(i))
+	}
+	wrong := 0
+	for i := range 256 {
+		if i < 100 {
+			assert.True(t, b.has(key(i)))
+		} else if b.has(key(i)) {
+			wrong++
+		}
+	}
+	assert.Less(t, wrong, 16)
+}
--- a/bench/bvgroup/bvgroup.go
+++ b/bench/bvgroup/bvgroup.go
@@ -261,9 +261,7 @@
 	if !ok {
 		return
 	}
-	size := g.bundles[c.Version].size()
-	p.Traffic.Sent.Calls += size
-	m.Traffic.Received.Calls += size
+	g.failed(g.meter.fetchBase(m, p, g.bundles[c.Version]))
 	g.handle(m, bvnode.BaseReceived{Config: c, Age: age})
 }
 
@@ -326,3 +324,6 @@
 		}
 	}
 }
+
+// Probes returns the number of upstreams that the node probes.
+func (m *Member) Probes() int { return m.probes }
--- a/bench/bvgroup/meter.go
+++ b/bench/bvgroup/meter.go
@@ -78,6 +78,10 @@
 func (a *answers) Push(bvconfig.NodeID, []bvnode.FlowRecord)             {}
 func (a *answers) Bundle() (bvplatform.Bundle, bool)                     { return published(a.bundle), true }
 
+func (a *answers) Base(uint64) (bvplatform.Bundle, time.Duration, bool) {
+	return published(a.bundle), time.Hour, true
+}
+
 func published(b bundle) bvplatform.Bundle {
 	return bvplatform.Bundle{Manifest: b.manifest, Parts: b.parts}
 }
@@ -93,7 +97,7 @@
 	clock := clockwork.NewRealClock()
 	m.client = bvpeer.NewClient(1<<63, credentials, clock, bvpeer.Options{Timeout: 10 * time.Second})
 	m.context, m.cancel = context.WithCancel(context.Background())
-	server := bvpeer.NewServer(&m.next, credentials, clock)
+	server := bvpeer.NewServer(&m.next, credentials, clock, func() {})
 	m.wait.Go(func() { _ = server.Serve(m.context, l) })
 	return m, nil
 }
@@ -144,6 +148,14 @@
 	})
 }
 
+func (m *meter) fetchBase(from, to *Member, b bundle) error {
+	m.next.bundle = b
+	return m.call(from, to, func() error {
+		_, _, err := m.client.FetchBase(m.context, m.listener.address(), b.config.Version.Revision)
+		return err
+	})
+}
+
 // recordBytes returns the size of the Geneve option that carries a record.
 func recordBytes(r bvroute.Record) int { return 4 + 4 + 8 + 8*int(r.Count) }
 
--- a/cmd/bvbench/main.go
+++ b/cmd/bvbench/main.go
@@ -20,7 +20,7 @@
 		Use: "bvbench", Short: "Measure the balancer and a group",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	c.AddCommand(newTableCommand())
+	c.AddCommand(newTableCommand(), newSlopesCommand())
 	if err := c.Execute(); err != nil {
 		zap.Must(zap.NewDevelopment()).Error("bvbench failed", zap.Error(err))
 		os.Exit(1)
