--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 FAULT ?=
 
-.PHONY: test lint demo build bench slopes
+.PHONY: test lint demo demos quickstart build bench slopes
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -15,10 +15,18 @@
 
 test: lint
 	$(GO) test -race ./...
+	$(MAKE) demos
+	./scripts/quickstart.sh
 
 demo: build
 	./scripts/demo.sh "$(FAULT)"
 
+demos: build
+	./scripts/demos.sh
+
+quickstart:
+	./scripts/quickstart.sh
+
 bench: build
 	./bin/bvbench table
 	./scripts/bench-relay.sh
--- a/core/bvroute/bvroute.go
+++ b/core/bvroute/bvroute.go
@@ -24,6 +24,7 @@
 package bvroute
 
 import (
+	"slices"
 	"time"
 
 	"balsamvane/core/bvconfig"
@@ -72,6 +73,9 @@
 	certainRefusals                       // Only a long-time owner refuses.
 	handovers                             // Sweeps send records to new members.
 	openingWindow                         // Openings with payload are dropped after a change of owner.
+	outages                               // Entries from before a zone was taken out are void.
+	formerHomes                           // Owners in zones that have just left are replicas.
+	joinerDrops                           // A joining balancer adopts no flows.
 )
 
 // Router decides on packets.
@@ -90,8 +94,9 @@
 	disagreed time.Time // The last time that peers had another configuration; zero if never.
 
 	generation uint64    // Counts changes of ownership.
-	baseline   *view     // The view at the start of the last complete sweep.
-	changed    time.Time // The first change of ownership after the last complete sweep.
+	baseline   *view     // That of the last complete sweep with one configuration everywhere.
+	based      uint64    // The generation of the baseline.
+	changed    time.Time // The first change of ownership after the baseline.
 	swept      uint64    // The generation of the last complete sweep.
 }
 
@@ -132,12 +137,13 @@
 		r.started, r.baseline = now, v
 		return
 	}
+	r.voidReturned(old)
 	if !old.agreed {
 		r.disagreed = now
 	}
 	if old.ownership != v.ownership {
 		r.history = append(r.history, past{old, now})
-		if r.swept == r.generation {
+		if r.based == r.generation {
 			r.changed = now
 		}
 		r.generation++
@@ -147,6 +153,31 @@
 	}
 }
 
+// voidReturned marks the entries of flows in zones that the new view brings
+// back into service. These flows were given up and may have been placed
+// elsewhere meanwhile. It goes through the whole table, which is done in
+// milliseconds, since zones rarely come back.
+func (r *Router) voidReturned(old *view) {
+	back := make([]bool, len(r.view.zones))
+	for i, z := range r.view.zones {
+		if j := old.zoneIndex(z.name); j >= 0 {
+			back[i] = old.zones[j].out && !z.out && r.enabled(outages)
+		}
+	}
+	if !slices.Contains(back, true) {
+		return
+	}
+	for cursor, done := uint64(0), false; !done; {
+		cursor, done = r.table.Range(cursor, 1<<16, func(e *bvflow.Entry) bool {
+			t := r.view.upstreams[bvconfig.UpstreamID(e.Upstream)]
+			if t != nil && t.zone >= 0 && back[t.zone] && e.State != bvflow.StateRefused {
+				e.Flags |= bvflow.FlagVoid
+			}
+			return true
+		})
+	}
+}
+
 // forgetRemovals drops what is known of base revisions that are not in use.
 func (r *Router) forgetRemovals(bases []Base) {
 	for revision := range r.removed {
--- a/core/bvroute/view.go
+++ b/core/bvroute/view.go
@@ -55,6 +55,12 @@
 	lists []list
 }
 
+func (p *picks) equal(q *picks) bool {
+	return slices.Equal(p.zones, q.zones) && slices.EqualFunc(p.lists, q.lists, func(a, b list) bool {
+		return slices.Equal(a.candidates, b.candidates) && slices.Equal(a.targets, b.targets)
+	})
+}
+
 func (p *picks) zone(k bvflow.Key) int { return bvpick.Best(k, p.zones) }
 
 func (p *picks) upstreamIn(k bvflow.Key, zone int) *target {
@@ -76,9 +82,13 @@
 	idempotent bool
 	current    picks
 	bases      []picks
+	quiet      bool // There is one base list, and it equals the current one.
 	// homes ranks all zones of the first base list, with those that have left
 	// it.
 	homes []bvpick.Candidate
+	// disagreed is true while some peer runs another configuration, which may
+	// still have the zones that have left the base list.
+	disagreed bool
 }
 
 // node is a balancer, possibly this one.
@@ -149,6 +159,9 @@
 	for i, b := range p.Bases {
 		v.addBase(i, b, gone.of(b.Revision))
 	}
+	for _, s := range v.byName {
+		s.quiet = len(s.bases) == 1 && s.current.equal(&s.bases[0])
+	}
 	v.ownership = v.fingerprint()
 	return v
 }
@@ -189,7 +202,7 @@
 		c := &service{
 			name: s.Name, vni: s.VNI, class: s.Class, idempotent: s.Idempotent,
 			current: newPicks(len(v.zones)), bases: make([]picks, len(p.Bases)),
-			homes: make([]bvpick.Candidate, len(v.zones)),
+			homes: make([]bvpick.Candidate, len(v.zones)), disagreed: !v.agreed && v.disabled&formerHomes == 0,
 		}
 		for i := range c.bases {
 			c.bases[i] = newPicks(len(v.zones))
@@ -399,8 +412,23 @@
 	return s.bases[0].upstreamIn(k, z), z
 }
 
+// formerHome returns the zone of k in the whole first base list, if that zone
+// has left the list and some peer may not know it yet. It is -1 otherwise.
+func (s *service) formerHome(k bvflow.Key) int {
+	if !s.disagreed || len(s.bases) == 0 {
+		return -1
+	}
+	if z := bvpick.Best(k, s.homes); z != s.bases[0].zone(k) {
+		return z
+	}
+	return -1
+}
+
 // exception reports whether u differs from the pick at any base in use.
 func (s *service) exception(k bvflow.Key, u bvconfig.UpstreamID) bool {
+	if s.formerHome(k) >= 0 {
+		return true
+	}
 	for i := range s.bases {
 		if t := s.bases[i].upstream(k); t == nil || t.id != u {
 			return true
