Measure the cost of messages and decisions in and out of cache

Change: bvgroup.HeartbeatCost, PushCost and ProbeCost; decisions with a table of 20,000 and of 350,000 flows; the memory of the balancer process in scripts/bench-relay.sh.

--- a/bench/bvcost/bvcost.go
+++ b/bench/bvcost/bvcost.go
@@ -76,10 +76,10 @@
 	return out
 }
 
-const perRound = 50_000
-
-// Decisions measures all kinds of decision.
-func Decisions() (Costs, error) {
+// Decisions measures all kinds of decision, with the given number of flows in
+// each of 5 rounds; the table ends with 10 times as many. A table of a few
+// thousand flows stays in the processor's cache and a larger one does not.
+func Decisions(perRound int) (Costs, error) {
 	g, err := bvgroup.New(bvgroup.Shape{Zones: 1, Balancers: 2, Upstreams: []int{14}, Connections: 1 << 30})
 	if err != nil {
 		return Costs{}, err
@@ -98,10 +98,7 @@
 	var c Costs
 	c.New = measure(perRound, func(r, i int) { decide(fresh[r*perRound+i], bvflow.PhaseOpening) })
 	c.Known = measure(perRound, func(r, i int) { decide(fresh[r*perRound+i], bvflow.PhaseEstablished) })
-	// Fewer, so that the table takes them all: a quarter of it is kept for
-	// new flows.
-	part := min(perRound, (500_000*3/4-len(fresh))/rounds-1)
-	c.Unknown = measure(part, func(r, i int) { decide(unknown[r*part+i], bvflow.PhaseEstablished) })
+	c.Unknown = measure(perRound, func(r, i int) { decide(unknown[r*perRound+i], bvflow.PhaseEstablished) })
 	c.HandOn = measure(perRound, func(_, i int) { decide(foreign[i], bvflow.PhaseEstablished) })
 	return c, g.Err()
 }
--- a/bench/bvgroup/meter.go
+++ b/bench/bvgroup/meter.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -15,7 +13,6 @@
 	"balsamvane/core/bvroute"
 	"balsamvane/io/bvpeer"
 	"balsamvane/io/bvplatform"
-	"balsamvane/io/bvprobe"
 	"balsamvane/io/bvtunnel"
 
 	"github.com/jonboulle/clockwork"
@@ -204,39 +201,3 @@
 	c.listener.out.Add(int64(len(b)))
 	return c.Conn.Write(b)
 }
-
-// ProbeBytes returns the bytes of one probe of an upstream's health endpoint
-// in both directions, with TCP and IPv4 headers, on a kept connection.
-func ProbeBytes() (int, error) {
-	l, err := listenCounting()
-	if err != nil {
-		return 0, err
-	}
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write([]byte(`{"state":"warm","startedAt":"2030-01-01T00:00:00.000Z","openConnections":1234,"busySlots":4}`))
-	}))
-	_ = s.Listener.Close()
-	s.Listener = l
-	s.Start()
-	defer s.Close()
-	results := make(chan bvnode.Event, 1)
-	p := bvprobe.New(clockwork.NewRealClock(), func(e bvnode.Event) {
-		select {
-		case results <- e:
-		default:
-		}
-	}, bvprobe.Options{Interval: 200 * time.Millisecond})
-	ctx, cancel := context.WithCancel(context.Background())
-	var wait conc.WaitGroup
-	wait.Go(func() { p.Run(ctx) })
-	p.Set([]bvconfig.Upstream{{Name: "vm", Service: "s", Health: l.address()}})
-	e := <-results
-	in, out := l.in.Load(), l.out.Load()
-	cancel()
-	wait.Wait()
-	if _, ok := e.(bvnode.ProbeSucceeded); !ok {
-		return 0, eris.New("bvgroup: the probe failed")
-	}
-	return withHeaders(int(in)) + withHeaders(int(out)), nil
-}
--- a/cmd/bvbench/table.go
+++ b/cmd/bvbench/table.go
@@ -53,7 +53,12 @@
 			p := newPrinter(c.OutOrStdout())
 			p.line("case", "value", "target", "verdict", "note")
 			if only == "" {
-				if err := decisions(p); err != nil {
+				for _, n := range []int{2_000, 35_000} {
+					if err := decisions(p, n); err != nil {
+						return err
+					}
+				}
+				if err := sizes(p); err != nil {
 					return err
 				}
 			}
@@ -70,8 +75,8 @@
 	return c
 }
 
-func decisions(p printer) error {
-	c, err := bvcost.Decisions()
+func decisions(p printer, perRound int) error {
+	c, err := bvcost.Decisions(perRound)
 	if err != nil {
 		return err
 	}
@@ -85,10 +90,15 @@
 		{"decision, unknown mid-flow, 14 upstreams", c.Unknown, 1000},
 		{"decision, hand on to the owner", c.HandOn, 1000},
 	} {
+		x.name = fmt.Sprintf("%s, table of %d", x.name, 2*5*perRound)
 		p.below(x.name, x.cost.Nanoseconds, x.target, "ns", fmt.Sprintf("median of 5 rounds, slowest %.0f", x.cost.Slowest))
 		allocations := float64(int(x.cost.Allocations*100)) / 100
 		p.below(x.name+", allocations", allocations, 0, "", fmt.Sprintf("%.5f with the growth of the table", x.cost.Allocations))
 	}
+	return nil
+}
+
+func sizes(p printer) error {
 	for _, n := range []int{100_000, 300_000} {
 		b, err := bvcost.BytesPerFlow(n)
 		if err != nil {
@@ -96,11 +106,25 @@
 		}
 		p.below(fmt.Sprintf("heap per open flow, %d flows", n), b, 64, "B")
 	}
-	probe, err := bvgroup.ProbeBytes()
-	if err != nil {
-		return err
+	return messageCosts(p)
+}
+
+func messageCosts(p printer) error {
+	for _, m := range []struct {
+		name, note string
+		cost       func() (bvgroup.MessageCost, error)
+	}{
+		{"heartbeat", "encoding and decoding, without system calls", bvgroup.HeartbeatCost},
+		{"push of 1 record", "both sides", func() (bvgroup.MessageCost, error) { return bvgroup.PushCost(1) }},
+		{"push of 50 records", "both sides", func() (bvgroup.MessageCost, error) { return bvgroup.PushCost(50) }},
+		{"probe of an upstream", "both sides; every 2 s for each upstream of the zone; not in the control rows", bvgroup.ProbeCost},
+	} {
+		c, err := m.cost()
+		if err != nil {
+			return err
+		}
+		p.line(m.name, fmt.Sprintf("%d B, %.1f us", c.Bytes, float64(c.CPU.Nanoseconds())/1000), "-", "-", "processor time; "+m.note)
 	}
-	p.line("probe of an upstream, both directions", fmt.Sprint(probe, " B"), "-", "-", "every 2 s for each upstream of the zone; not in the control rows")
 	return nil
 }
 
--- a/scripts/bench-relay.sh
+++ b/scripts/bench-relay.sh
@@ -78,6 +78,8 @@
 	measure "$net.2" "$balancer_pid" >>"$run/balancer.figures"
 done
 relay="$(median <"$run/relay.figures")" balancer="$(median <"$run/balancer.figures")"
+hwm="$(awk '/VmHWM/ {print $2}' "/proc/$balancer_pid/status")"
+echo "balancer: $hwm kB of memory at most, with 1 upstream and $flows flows"
 hertz="$(getconf CLK_TCK)"
 show() {
 	awk -v hz="$hertz" '{printf "%s%.0f", s, $1; lost += $2; n += $3; t += $4; s = " "}
