--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,7 @@
 
 bench: build
 	./bin/bvbench table
+	./scripts/bench-relay.sh
+
+slopes: build
+	./bin/bvbench slopes
