Prove seven promises over several nodes with one and two faults, and repair what that found

Cause: the fault tables (19 faults, each alone and in pairs, 209 rows) run several nodes with a fake clock; the table of promise 5 also delays, duplicates and reorders all control messages. They showed: (1) heartbeats that were overtaken by later ones took a peer back to an earlier state; (2) a peer that still took a node for dead answered its sync request with "done" and no records; (3) an answer to a sync request from before a pause completed the sync after it; (4) a node that was paused without noticing, since its clock stood still, answered a verdict of another zone first, and its own zone then took it for active; (5) it also went on using base picks that it had adopted meanwhile; (6) a zone's replacement promoted itself before a peer that did not list it yet had been heard.

Change: heartbeats have a sequence number (CBOR key 9); such a peer answers "ask again"; sync requests and answers have a token; verdicts of other zones wait 1.5 s for those of the own zone; entries adopted by a former owner do not decide before the owner has been asked; promotion waits up to 5 s for unheard peers that nobody takes for dead.

--- a/core/bvmember/bvmember.go
+++ b/core/bvmember/bvmember.go
@@ -46,6 +46,7 @@
 	PauseLimit      time.Duration // 1 s: a longer gap between ticks is a pause.
 	ZoneEmptyAfter  time.Duration // 2 s without an active node in the zone.
 	PlatformSilence time.Duration // 60 s without news of a platform contact.
+	ListSpread      time.Duration // 5 s in which all nodes get a published list.
 	ReadJitter      time.Duration // 30 s: spread of the reads that follow.
 	FetchTimeout    time.Duration // 2 s until another peer is tried.
 	Watchers        int           // 2 balancers of a zone watch the platform.
@@ -60,6 +61,8 @@
 	reviveUnchanged  bool
 	noSilenceReading bool
 	noPromotion      bool
+	noDoubt          bool
+	anyOrder         bool
 }
 
 func (o Options) withDefaults() Options {
@@ -70,6 +73,7 @@
 	o.ZoneEmptyAfter = cmp.Or(o.ZoneEmptyAfter, 2*time.Second)
 	o.PlatformSilence = cmp.Or(o.PlatformSilence, time.Minute)
 	o.ReadJitter = cmp.Or(o.ReadJitter, 30*time.Second)
+	o.ListSpread = cmp.Or(o.ListSpread, 5*time.Second)
 	o.FetchTimeout = cmp.Or(o.FetchTimeout, 2*time.Second)
 	o.Watchers = cmp.Or(o.Watchers, 2)
 	return o
@@ -96,9 +100,10 @@
 
 type peer struct {
 	Peer
-	heard time.Time // Of the last heartbeat.
-	due   time.Time // Of the next heartbeat to it.
-	rank  uint64
+	heard    time.Time // Of the last heartbeat.
+	due      time.Time // Of the next heartbeat to it.
+	rank     uint64
+	sequence uint64 // Of the last heartbeat of the incarnation.
 	// declared is true if another peer takes this one for dead.
 	declared bool
 }
@@ -128,7 +133,10 @@
 	contact     time.Time // Own last platform contact.
 	news        time.Time // Last platform contact heard of, own or a peer's.
 	read        time.Time // Time of the next own read of the platform.
+	listed      time.Time // When the first published list was known.
+	doubted     time.Time // Of the first unanswered verdict of another zone.
 	draws       uint64
+	sequence    uint64 // Of the last heartbeat sent.
 	fetchAgain  time.Time
 	fetches     uint64
 }
@@ -177,7 +185,7 @@
 // forgotten; new ones count as unheard until their first heartbeat.
 func (m *Members) SetBalancers(now time.Time, bs []bvconfig.Balancer) {
 	if m.zoneActive.IsZero() {
-		m.zoneActive, m.news = now, now
+		m.zoneActive, m.news, m.listed = now, now, now
 		m.read = now.Add(m.silence())
 	}
 	old := m.peers
@@ -277,7 +285,7 @@
 // Self returns the heartbeat that this node sends now.
 func (m *Members) Self(now time.Time) Heartbeat {
 	h := Heartbeat{
-		Node: m.self, Incarnation: m.incarnation, State: m.state, Version: m.version, BaseRevision: m.base,
+		Node: m.self, Incarnation: m.incarnation, Sequence: m.sequence, State: m.state, Version: m.version, BaseRevision: m.base,
 		PlatformAge: NoContact,
 	}
 	if !m.contact.IsZero() {
@@ -306,6 +314,9 @@
 		}
 		ts = append(ts, Target{Node: p.Node, Tunnel: p.Tunnel, Control: p.Control})
 	}
+	if len(ts) > 0 {
+		m.sequence++
+	}
 	return ts
 }
 
--- a/core/bvmember/change.go
+++ b/core/bvmember/change.go
@@ -137,7 +137,7 @@
 func (m *Members) promote(now time.Time) []Change {
 	m.noteActive(now)
 	empty := !m.zoneActive.IsZero() && now.Sub(m.zoneActive) >= m.options.ZoneEmptyAfter
-	if !empty || m.state != StateJoining || m.options.noPromotion {
+	if !empty || m.state != StateJoining || m.options.noPromotion || m.Unheard() && now.Sub(m.listed) < m.options.ListSpread {
 		return nil
 	}
 	for _, p := range m.order {
@@ -155,9 +155,10 @@
 func (m *Members) Heartbeat(now time.Time, h Heartbeat) []Change {
 	cs := m.wake(now)
 	p := m.peers[h.Node]
-	if p == nil || h.Incarnation < p.Incarnation || h.Incarnation == 0 {
+	if p == nil || h.Incarnation < p.Incarnation || h.Incarnation == 0 || m.overtaken(p, h) {
 		return cs
 	}
+	p.sequence = h.Sequence
 	wasDead, outnumbered := p.dead(), m.outnumbered(h)
 	m.learn(now, p, h)
 	// A dead peer stays dead until it shows by a higher incarnation that it
@@ -170,6 +171,11 @@
 	return cs
 }
 
+// overtaken reports whether a later heartbeat of the incarnation has arrived.
+func (m *Members) overtaken(p *peer, h Heartbeat) bool {
+	return h.Incarnation == p.Incarnation && h.Sequence > 0 && h.Sequence <= p.sequence && !m.options.anyOrder
+}
+
 // learn takes from a heartbeat what holds whether or not its sender counts as
 // alive.
 func (m *Members) learn(now time.Time, p *peer, h Heartbeat) {
@@ -257,6 +263,9 @@
 		if d.Node != m.self || d.Incarnation < m.incarnation || d.Incarnation+1 == 0 {
 			continue
 		}
+		if m.doubt(now, p) {
+			return nil
+		}
 		m.incarnation = d.Incarnation + 1
 		rejoin := m.state == StateActive && m.yields(p, h, s)
 		if rejoin {
@@ -267,6 +276,21 @@
 	return nil
 }
 
+// doubt reports whether a verdict waits for those of this node's own zone. A
+// node that was paused without noticing may hear a verdict of another zone
+// first; if it answered that one, its own zone would take it for active again,
+// although it lacks what was placed meanwhile.
+func (m *Members) doubt(now time.Time, p *peer) bool {
+	wait := 3 * m.options.HeartbeatInZone
+	if p.Zone == m.zone || !m.activePeerInZone() || m.options.noDoubt {
+		return false
+	}
+	if m.doubted.IsZero() || now.Sub(m.doubted) > 10*wait {
+		m.doubted = now
+	}
+	return now.Sub(m.doubted) < wait
+}
+
 // yields reports whether this node gives up its keys after a peer took it for
 // dead. Only active nodes of its own zone can have taken them over. If each
 // took the other for dead, one side stays active, so that the zone is not
--- a/core/bvmember/heartbeat.go
+++ b/core/bvmember/heartbeat.go
@@ -20,8 +20,11 @@
 type Heartbeat struct {
 	Node        bvconfig.NodeID
 	Incarnation uint64
-	State       State
-	Version     bvconfig.Version
+	// Sequence grows with each heartbeat of an incarnation. Copies and heartbeats
+	// that later ones have overtaken are ignored. 0 stands for none.
+	Sequence uint64
+	State    State
+	Version  bvconfig.Version
 	// BaseRevision is the revision whose upstream lists give the base picks.
 	BaseRevision uint64
 	// PlatformAge is the time since the last successful platform contact.
--- a/core/bvnode/action.go
+++ b/core/bvnode/action.go
@@ -46,12 +46,13 @@
 }
 
 // RequestSync asks a peer for records from Cursor on; the answer comes back as
-// [SyncReceived] or [SyncFailed].
+// [SyncReceived] with the same token, or [SyncFailed].
 type RequestSync struct {
 	From    bvconfig.NodeID
 	Control netip.AddrPort
 	Cursor  uint64
 	Limit   int // Bytes of records in the answer.
+	Token   uint64
 }
 
 // PushRecords sends exceptions to a peer; the answer comes back as
--- a/core/bvnode/event.go
+++ b/core/bvnode/event.go
@@ -116,6 +116,8 @@
 	// Cursor is where the next request goes on; Done marks the last part.
 	Cursor uint64
 	Done   bool
+	// Token is that of the request.
+	Token uint64
 }
 
 // SyncFailed tells that a peer did not answer a [RequestSync] or [PushRecords].
--- a/core/bvnode/fixture_test.go
+++ b/core/bvnode/fixture_test.go
@@ -31,8 +31,18 @@
 	stopped  map[string]Stop
 	disabled safeguard
 	packets  int // Of the chooser for the fabric.
+
+	addresses map[netip.AddrPort]string
+	frozen    map[string]bool          // Nodes that no configuration reaches.
+	skew      map[string]time.Duration // Of a node's clock.
+	everyTick func()                   // Nil, or called at the end of each tick.
+	sent      func(at string, p bvflow.Packet, d bvroute.Decision) bool
+	last      string // The node that sent the last packet to an upstream.
+	noise     *noise // Nil if control messages arrive at once.
 }
 
+func (g *group) at(name string) time.Time { return g.now.Add(g.skew[name]) }
+
 func address(kind, i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(kind), byte(i >> 8), byte(i)}), 6081)
 }
@@ -68,13 +78,22 @@
 	g := &group{
 		t: t, now: start, nodes: map[string]*Node{}, paused: map[string]bool{}, platform: &c, disabled: disabled,
 		stale: map[string]*bvconfig.Config{}, watching: map[string]bool{}, stopped: map[string]Stop{},
+		addresses: map[netip.AddrPort]string{}, frozen: map[string]bool{}, skew: map[string]time.Duration{},
 	}
+	g.list(c)
 	for _, b := range c.Balancers {
 		g.start(b.Name, b.Zone)
 	}
 	return g
 }
 
+// list notes the addresses of a configuration's balancers.
+func (g *group) list(c bvconfig.Config) {
+	for _, b := range c.Balancers {
+		g.addresses[b.Tunnel], g.addresses[b.Control] = b.Name, b.Name
+	}
+}
+
 func (g *group) start(name, zone string) {
 	if g.nodes[name] == nil {
 		g.names = append(g.names, name)
@@ -83,7 +102,7 @@
 	delete(g.stopped, name)
 	g.watching[name] = false
 	g.nodes[name] = New(Options{
-		Node: name, Zone: zone, Group: "g", Started: g.now, Incarnation: uint64(g.now.UnixNano()),
+		Node: name, Zone: zone, Group: "g", Started: g.at(name), Incarnation: uint64(g.now.UnixNano()),
 		StopTimeout: 60 * time.Second, disabled: g.disabled,
 	})
 }
@@ -109,6 +128,10 @@
 				g.handle(n, ConfigOffered{Config: *c, FromPlatform: true})
 			}
 		}
+		g.deliver()
+		if g.everyTick != nil {
+			g.everyTick()
+		}
 	}
 }
 
@@ -124,23 +147,18 @@
 
 func (g *group) handle(name string, ev Event) {
 	n := g.nodes[name]
-	if n == nil || g.paused[name] {
+	if _, ok := ev.(ConfigOffered); n == nil || g.paused[name] || ok && g.frozen[name] {
 		return
 	}
-	for _, a := range n.Handle(g.now, ev) {
+	for _, a := range n.Handle(g.at(name), ev) {
 		g.act(name, a)
 	}
 }
 
 // named returns the running node with the address, or "".
 func (g *group) named(a netip.AddrPort) string {
-	for _, n := range g.nodes {
-		c, _ := n.Config()
-		for _, b := range c.Balancers {
-			if (b.Tunnel == a || b.Control == a) && g.nodes[b.Name] != nil {
-				return b.Name
-			}
-		}
+	if n := g.addresses[a]; g.nodes[n] != nil {
+		return n
 	}
 	return ""
 }
@@ -150,37 +168,40 @@
 	case SendHeartbeat:
 		for _, to := range a.To {
 			if peer := g.named(to); g.reaches(name, peer) {
-				g.handle(peer, HeartbeatReceived{Heartbeat: a.Heartbeat})
+				g.post(peer, HeartbeatReceived{Heartbeat: a.Heartbeat}, nil)
 			}
 		}
 	case FetchConfig:
 		if peer := g.named(a.Control); g.reaches(name, peer) {
 			if c, ok := g.nodes[peer].Config(); ok {
-				g.handle(name, ConfigOffered{Config: c, Token: a.Token})
+				g.post(name, ConfigOffered{Config: c, Token: a.Token}, nil)
 			}
 		}
 	case FetchBase:
 		if peer := g.named(a.Control); g.reaches(name, peer) {
-			if c, age, ok := g.nodes[peer].Generation(g.now, a.Revision); ok {
-				g.handle(name, BaseReceived{Config: c, Age: age})
+			if c, age, ok := g.nodes[peer].Generation(g.at(peer), a.Revision); ok {
+				g.post(name, BaseReceived{Config: c, Age: age}, nil)
 			}
 		}
 	case ReadPlatform:
 		if c := g.published(name); c != nil {
-			g.handle(name, ConfigOffered{Config: *c, FromPlatform: true, Token: a.Token})
+			g.post(name, ConfigOffered{Config: *c, FromPlatform: true, Token: a.Token}, nil)
 		}
 	case WatchPlatform:
 		g.watching[name] = a.Enabled
 	case RequestSync:
 		if peer := g.named(a.Control); g.reaches(name, peer) {
-			g.handle(name, g.nodes[peer].SyncRequest(g.now, bvconfig.NodeIDOf(name), a.Cursor, a.Limit))
+			answer := g.nodes[peer].SyncRequest(g.at(peer), bvconfig.NodeIDOf(name), a.Cursor, a.Limit)
+			answer.Token = a.Token
+			g.post(name, answer, nil)
 		} else {
-			g.handle(name, SyncFailed{From: a.From})
+			g.post(name, SyncFailed{From: a.From}, nil)
 		}
 	case PushRecords:
 		if peer := g.named(a.Control); g.reaches(name, peer) {
-			g.handle(peer, RecordsPushed{From: bvconfig.NodeIDOf(name), Records: a.Records})
-			g.handle(name, PushAcknowledged{From: a.To, Sequence: a.Sequence})
+			g.post(peer, RecordsPushed{From: bvconfig.NodeIDOf(name), Records: a.Records}, func() {
+				g.post(name, PushAcknowledged{From: a.To, Sequence: a.Sequence}, nil)
+			})
 		}
 	case Stop:
 		g.stopped[name] = a
@@ -189,6 +210,9 @@
 	}
 }
 
+// refused stands for a refusal among the reasons that send returns.
+const refused bvroute.Reason = 255
+
 // send gives a packet to one balancer, as the fabric does, and follows it. It
 // returns the upstream that got it, or the reason for which none did.
 func (g *group) send(at string, p bvflow.Packet) (bvconfig.UpstreamID, bvroute.Reason) {
@@ -199,9 +223,13 @@
 		if n == nil || g.paused[at] {
 			return 0, bvroute.ReasonNoOwner
 		}
-		d := n.Packet(g.now, p, trail, record)
+		d := n.Packet(g.at(at), p, trail, record)
 		switch d.Verdict {
 		case bvroute.VerdictUpstream:
+			g.last = at
+			if g.sent != nil && !g.sent(at, p, d) {
+				return 0, bvroute.ReasonUpstreamGone
+			}
 			return d.Upstream, bvroute.ReasonNone
 		case bvroute.VerdictHandOn:
 			next := g.named(d.Tunnel)
@@ -209,6 +237,8 @@
 				return 0, bvroute.ReasonNoOwner
 			}
 			at, trail, record = next, d.Trail, d.Record
+		case bvroute.VerdictRefuse:
+			return 0, refused
 		default:
 			return 0, d.Reason
 		}
--- a/core/bvnode/records.go
+++ b/core/bvnode/records.go
@@ -13,6 +13,9 @@
 const (
 	// pullRetry is the time after which an unanswered request is repeated.
 	pullRetry = 3 * time.Second
+	// emptyRetry is the time after which a peer is asked again that had nothing
+	// to say yet: one heartbeat within the zone.
+	emptyRetry = 500 * time.Millisecond
 	// recordBytesPerRequest bounds one answer to a sync request.
 	recordBytesPerRequest = 1200
 )
@@ -20,6 +23,7 @@
 // pull is the sync with one peer.
 type pull struct {
 	cursor uint64
+	token  uint64    // Of the last request; answers to earlier ones are void.
 	next   time.Time // Of the next request.
 	done   bool
 }
@@ -48,7 +52,10 @@
 			continue
 		}
 		q.next = now.Add(pullRetry)
-		as = append(as, RequestSync{From: p.Node, Control: p.Control, Cursor: q.cursor, Limit: recordBytesPerRequest})
+		q.token = n.nextToken()
+		as = append(as, RequestSync{
+			From: p.Node, Control: p.Control, Cursor: q.cursor, Limit: recordBytesPerRequest, Token: q.token,
+		})
 	}
 	return as
 }
@@ -71,11 +78,16 @@
 	}
 	n.limiter.LearnWarm(now, ws)
 	q := n.pulls[ev.From]
-	if q == nil {
+	// The peer may have placed flows since it answered an earlier request.
+	if q == nil || q.token != ev.Token && n.enabled(syncTokens) {
 		return
 	}
+	q.token = 0
 	q.cursor = ev.Cursor
 	q.next = now.Add(n.pace(len(ev.Records)))
+	if len(ev.Records) == 0 && !ev.Done {
+		q.next = now.Add(emptyRetry)
+	}
 	if ev.Done {
 		q.done = true
 		n.adoptBase(ev.BaseRevision)
@@ -137,8 +149,13 @@
 }
 
 // SyncRequest answers a peer's [RequestSync] with the records from cursor on,
-// at most limit bytes of them.
+// at most limit bytes of them. A peer that this node takes for dead is not in
+// any replica set yet; the answer then tells it to ask again, since it would
+// otherwise take itself for in sync without having got anything.
 func (n *Node) SyncRequest(now time.Time, from bvconfig.NodeID, cursor uint64, limit int) SyncReceived {
+	if p, ok := n.members.Peer(from); (!ok || !p.Alive) && n.enabled(knownAskers) {
+		return SyncReceived{From: n.self, Cursor: cursor}
+	}
 	records, next, done := n.sweeper.Answer(now, from, cursor, limit)
 	a := SyncReceived{From: n.self, Records: flowRecords(records), Cursor: next, Done: done}
 	if done {
--- a/core/bvnode/safeguard.go
+++ b/core/bvnode/safeguard.go
@@ -21,6 +21,8 @@
 	fixedShares                             // Shares follow the published list, not the live nodes.
 	openingPayload                          // Openings with a request are tied to one upstream.
 	refusalRecords                          // Refusals are recorded by the replica set.
+	syncTokens                              // Only the answer to the last sync request counts.
+	knownAskers                             // Peers that are taken for dead get no sync answer.
 	unheardPeers                            // A new node waits for peers that it has not heard.
 )
 
--- a/core/bvroute/bvroute.go
+++ b/core/bvroute/bvroute.go
@@ -75,6 +75,7 @@
 	openingWindow                         // Openings with payload are dropped after a change of owner.
 	outages                               // Entries from before a zone was taken out are void.
 	formerHomes                           // Owners in zones that have just left are replicas.
+	ownersFirst                           // A former owner asks the owner about flows it has adopted.
 	joinerDrops                           // A joining balancer adopts no flows.
 )
 
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -122,7 +122,9 @@
 // once, since the owner would come back to ask it.
 func (c *passage) mayUse(e *bvflow.Entry) bool {
 	closed := e.State == bvflow.StateClosed || e.State == bvflow.StateClosing && c.opening()
-	if e.Has(bvflow.FlagOwner) && !closed && c.idle(c.now, e) <= c.options.OpeningWindow {
+	// What was adopted from the base pick is a guess that the owner may correct.
+	own := e.Has(bvflow.FlagOwner) && (!e.Has(bvflow.FlagAdopted) || !c.enabled(ownersFirst))
+	if own && !closed && c.idle(c.now, e) <= c.options.OpeningWindow {
 		return true
 	}
 	if c.selfOwns() {
@@ -131,7 +133,7 @@
 	if closed {
 		return false
 	}
-	if c.trail.Count > 0 || e.Has(bvflow.FlagOwner) && c.swept != c.generation {
+	if c.trail.Count > 0 || own && c.swept != c.generation {
 		return true
 	}
 	o := c.view.owner(c.key, c.view.home(c.service, c.key))
--- a/io/bvdaemon/actions.go
+++ b/io/bvdaemon/actions.go
@@ -207,7 +207,7 @@
 			failed()
 			return
 		}
-		r.From = a.From // What was asked, whatever the answer claims.
+		r.From, r.Token = a.From, a.Token // What was asked, whatever the answer claims.
 		d.handle(r)
 	}, failed)
 }
--- a/io/bvtunnel/bvtunnel_test.go
+++ b/io/bvtunnel/bvtunnel_test.go
@@ -143,7 +143,7 @@
 func TestHeartbeat(t *testing.T) {
 	c := NewCodec(testKeys)
 	want := bvmember.Heartbeat{
-		Node: 1, Incarnation: 1 << 62, State: bvmember.StateLeaving,
+		Node: 1, Incarnation: 1 << 62, Sequence: 5, State: bvmember.StateLeaving,
 		Version:      bvconfig.Version{Revision: 12, Hash: [32]byte{4}},
 		BaseRevision: 11, PlatformAge: 1500 * time.Millisecond,
 		Dead: []bvmember.DeadPeer{{Node: 3, Incarnation: 4}},
--- a/io/bvtunnel/heartbeat.go
+++ b/io/bvtunnel/heartbeat.go
@@ -23,6 +23,7 @@
 	BaseRevision uint64     `cbor:"6,keyasint,omitempty"`
 	PlatformAge  uint64     `cbor:"7,keyasint,omitempty"` // Milliseconds.
 	Dead         []deadPeer `cbor:"8,keyasint,omitempty"`
+	Sequence     uint64     `cbor:"9,keyasint,omitempty"`
 }
 
 type deadPeer struct {
@@ -54,6 +55,7 @@
 	w := heartbeat{
 		Node:         uint64(b.Node),
 		Incarnation:  b.Incarnation,
+		Sequence:     b.Sequence,
 		State:        uint8(b.State),
 		Revision:     b.Version.Revision,
 		Hash:         b.Version.Hash,
@@ -104,6 +106,7 @@
 	out := bvmember.Heartbeat{
 		Node:         bvconfig.NodeID(w.Node),
 		Incarnation:  w.Incarnation,
+		Sequence:     w.Sequence,
 		State:        bvmember.State(w.State),
 		Version:      bvconfig.Version{Revision: w.Revision, Hash: w.Hash},
 		BaseRevision: w.BaseRevision,
