--- a/core/bvnode/records.go
+++ b/core/bvnode/records.go
@@ -26,6 +26,7 @@
 	next    time.Time // Of the next request.
 	done    bool
 	backoff *bvretry.Backoff
+	token   uint64 // Of the last request; answers to earlier ones are void.
 }
 
 // pullRecords asks active peers for the exceptions that this node needs, and
@@ -52,7 +53,10 @@
 			continue
 		}
 		q.next = now.Add(pullRetry)
-		as = append(as, RequestSync{From: p.Node, Control: p.Control, Cursor: q.cursor, Limit: recordBytesPerRequest})
+		q.token = n.nextToken()
+		as = append(as, RequestSync{
+			From: p.Node, Control: p.Control, Cursor: q.cursor, Limit: recordBytesPerRequest, Token: q.token,
+		})
 	}
 	return as
 }
@@ -78,9 +82,11 @@
 		n.learnLeft(ev.Left)
 	}
 	q := n.pulls[ev.From]
-	if q == nil {
+	// The peer may have placed flows since it answered an earlier request.
+	if q == nil || q.token != ev.Token && n.enabled(syncTokens) {
 		return
 	}
+	q.token = 0
 	q.cursor = ev.Cursor
 	q.backoff.Reset()
 	q.next = now.Add(n.pace(len(ev.Records)))
@@ -145,8 +151,13 @@
 }
 
 // SyncRequest answers a peer's [RequestSync] with the records from cursor on,
-// at most limit bytes of them.
+// at most limit bytes of them. A peer that this node takes for dead is not in
+// any replica set yet; the answer then tells it to ask again, since it would
+// otherwise take itself for in sync without having got anything.
 func (n *Node) SyncRequest(now time.Time, from bvconfig.NodeID, cursor uint64, limit int) SyncReceived {
+	if p, ok := n.members.Peer(from); (!ok || !p.Alive) && n.enabled(knownAskers) {
+		return SyncReceived{From: n.self, Cursor: cursor}
+	}
 	records, next, done := n.sweeper.Answer(now, from, cursor, limit)
 	a := SyncReceived{From: n.self, Records: flowRecords(records), Cursor: next, Done: done}
 	if done {
--- a/io/bvtunnel/heartbeat.go
+++ b/io/bvtunnel/heartbeat.go
@@ -24,6 +24,7 @@
 	PlatformAge  uint64     `cbor:"7,keyasint,omitempty"` // Milliseconds.
 	Dead         []deadPeer `cbor:"8,keyasint,omitempty"`
 	Ready        uint64     `cbor:"9,keyasint,omitempty"`
+	Sequence     uint64     `cbor:"10,keyasint,omitempty"`
 }
 
 type deadPeer struct {
@@ -55,6 +56,7 @@
 	w := heartbeat{
 		Node:         uint64(b.Node),
 		Incarnation:  b.Incarnation,
+		Sequence:     b.Sequence,
 		State:        uint8(b.State),
 		Revision:     b.Version.Revision,
 		Hash:         b.Version.Hash,
@@ -111,6 +113,7 @@
 		BaseRevision:  w.BaseRevision,
 		ReadyRevision: w.Ready,
 		PlatformAge:   time.Duration(w.PlatformAge) * time.Millisecond,
+		Sequence:      w.Sequence,
 	}
 	for _, d := range w.Dead {
 		out.Dead = append(out.Dead, bvmember.DeadPeer{Node: bvconfig.NodeID(d.Node), Incarnation: d.Incarnation})
