--- a/core/bvnode/faults_test.go
+++ b/core/bvnode/faults_test.go
@@ -484,22 +484,3 @@
 		return f.name == "partition in the zone" || f.name == "zone cut off from others"
 	})
 }
-
-// splitNow reports whether balancers are parted, or have not met again yet.
-func (t *trial) splitNow() bool {
-	if !t.row.splits() {
-		return false
-	}
-	for _, from := range t.names {
-		if t.nodes[from].members.State() != bvmember.StateActive {
-			return true
-		}
-		for _, to := range t.names {
-			p, known := t.nodes[from].members.Peer(bvconfig.NodeIDOf(to))
-			if t.cut(from, to) || known && !(p.Alive && p.InSync) {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/core/bvnode/noise_test.go
+++ b/core/bvnode/noise_test.go
@@ -4,6 +4,9 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvmember"
 )
 
 // noise delays, reorders and duplicates control messages. The seed is fixed.
@@ -66,3 +69,22 @@
 		}
 	}
 }
+
+// splitNow reports whether balancers are parted, or have not met again yet.
+func (t *trial) splitNow() bool {
+	if !t.row.splits() {
+		return false
+	}
+	for _, from := range t.names {
+		if t.nodes[from].members.State() != bvmember.StateActive {
+			return true
+		}
+		for _, to := range t.names {
+			p, known := t.nodes[from].members.Peer(bvconfig.NodeIDOf(to))
+			if t.cut(from, to) || known && !(p.Alive && p.InSync) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/core/bvnode/openings_test.go
+++ b/core/bvnode/openings_test.go
@@ -106,12 +106,18 @@
 // TestPromise7Faults guards against requests in opening packets of a service
 // that is not idempotent, which run at two upstreams.
 func TestPromise7Faults(t *testing.T) {
-	for name, service := range map[string]func(int, bvflow.Phase) bvflow.Packet{"TCP fast open": request, "UDP": datagram} {
-		t.Run(name, func(t *testing.T) {
+	for _, payload := range []struct {
+		name, off string
+		service   func(int, bvflow.Phase) bvflow.Packet
+	}{
+		{"TCP fast open", "balancer killed", request},
+		{"UDP", "balancer killed, partition in the zone", datagram},
+	} {
+		t.Run(payload.name, func(t *testing.T) {
 			var at map[int]bvconfig.UpstreamID
 			copies := func(t *trial, from, to int) {
 				for f := from; f < to; f++ {
-					u, _ := t.send(t.anyNode(), service(f, bvflow.PhaseOpening))
+					u, _ := t.send(t.anyNode(), payload.service(f, bvflow.PhaseOpening))
 					if at[f] != 0 && u != 0 && u != at[f] {
 						t.violate("flow %d runs at %s and %s", f, t.upstreams[at[f]].Name, t.upstreams[u].Name)
 					}
@@ -137,7 +143,7 @@
 					copies(t, 0, 80+2*i)
 				},
 				steps: 40,
-				off:   map[string]safeguard{"balancer killed": openingPayload, "zone cut off from others": openingPayload},
+				off:   map[string]safeguard{payload.off: openingPayload},
 			}.run(t)
 		})
 	}
