Place own openings while a peer is not in sync; stop counting given-up flows

Cause: owners handed openings of their own keys to a peer that had not been synced with, so a replaced balancer placed the whole group's new flows; flows given up with a zone stayed counted until the idle timeout. Ruled out: marking restarted peers as synced, since one that was paused keeps flows that others lack.

--- a/core/bvnode/base.go
+++ b/core/bvnode/base.go
@@ -130,7 +130,7 @@
 		return
 	}
 	n.members.SetReady(r)
-	if !n.members.AllReady(r) && n.enabled(commonBase) {
+	if !n.members.AllReady(r) {
 		return
 	}
 	if err := n.store.SetBase(now, r); err == nil {
--- a/core/bvnode/safeguard.go
+++ b/core/bvnode/safeguard.go
@@ -24,7 +24,6 @@
 	syncTokens                              // Only the answer to the last sync request counts.
 	knownAskers                             // Peers that are taken for dead get no sync answer.
 	unheardPeers                            // A new node waits for peers that it has not heard.
-	commonBase                              // The base moves once all peers are ready.
 	transferLeft                            // A joining node learns what has left the base lists.
 )
 
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -208,7 +208,10 @@
 	if request && !c.selfOwns() && c.trail.Count > 0 && c.fresh() && c.enabled(openingWindow) {
 		return drop(ReasonUncertainOpening)
 	}
-	if n := c.unsynced(); n != nil {
+	// Openings without a request are placed here at once. Handing them to each
+	// peer that has not been synced with would let a balancer that was replaced
+	// place the new flows of the whole group.
+	if n := c.unsynced(); n != nil && !(c.opening() && !c.runsTwice() && c.selfOwns()) {
 		if d, ok := c.handTo(n); ok {
 			return d
 		}
--- a/core/bvroute/sweep.go
+++ b/core/bvroute/sweep.go
@@ -65,6 +65,9 @@
 // in configuration, so they would not agree on who is first.
 func (r *Router) handover(now time.Time, e *bvflow.Entry) (h Handover, ok bool) {
 	t := r.view.upstreams[bvconfig.UpstreamID(e.Upstream)]
+	if t == nil || t.obstacle != ReasonNone {
+		r.uncount(now, e) // The flow has been given up.
+	}
 	if t == nil || t.obstacle != ReasonNone && e.State != bvflow.StateRefused || t.service == nil ||
 		r.table.Expired(r.table.Seconds(now), e) || e.Has(bvflow.FlagVoid) {
 		return h, false
