Name reasons in one place

Cause: the names of drop reasons stood in the router and in the daemon. Change: the daemon's counters use the router's names. Result: the metrics are the same; TestReasons also finds names used twice. Ruled out: string reasons, which would be compared on the packet path.

--- a/core/bvroute/decision.go
+++ b/core/bvroute/decision.go
@@ -93,6 +93,15 @@
 	reasonCount
 )
 
+// Reasons returns all reasons in ascending order, for the names of counters.
+func Reasons() []Reason {
+	rs := make([]Reason, 0, reasonCount)
+	for r := range reasonCount {
+		rs = append(rs, r)
+	}
+	return rs
+}
+
 // Decision is the outcome for one packet. It is a struct and not an
 // interface value, so that deciding does not allocate.
 type Decision struct {
--- a/io/bvdaemon/bvdaemon_test.go
+++ b/io/bvdaemon/bvdaemon_test.go
@@ -374,10 +374,13 @@
 	assert.True(t, p.accept(2, 1))
 }
 
-// TestReasons guards against a reason without a name in the metrics.
+// TestReasons guards against a reason without a name in the metrics, and
+// against two reasons under one name.
 func TestReasons(t *testing.T) {
-	for _, r := range reasons {
-		assert.NotEmpty(t, r)
+	names := map[string]bool{}
+	for _, r := range bvroute.Reasons() {
+		assert.NotEmpty(t, r.String())
+		names[r.String()] = true
 	}
-	assert.Len(t, reasons, int(bvroute.ReasonUnknownUpstream)+1)
+	assert.Len(t, names, int(bvroute.ReasonUnknownUpstream)+1)
 }
--- a/io/bvdaemon/counters.go
+++ b/io/bvdaemon/counters.go
@@ -7,23 +7,6 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// reasons are the label values of drop and refusal reasons.
-var reasons = []string{
-	bvroute.ReasonNone:             "none",
-	bvroute.ReasonUnknownService:   "unknownService",
-	bvroute.ReasonTrailFull:        "trailFull",
-	bvroute.ReasonNoOwner:          "noOwner",
-	bvroute.ReasonUpstreamGone:     "upstreamGone",
-	bvroute.ReasonZoneOut:          "zoneOut",
-	bvroute.ReasonNoCapacity:       "noCapacity",
-	bvroute.ReasonUncertainOpening: "uncertainOpening",
-	bvroute.ReasonRefusedBefore:    "refusedBefore",
-	bvroute.ReasonPaused:           "paused",
-	bvroute.ReasonOverload:         "overload",
-	bvroute.ReasonNotConfigured:    "notConfigured",
-	bvroute.ReasonUnknownUpstream:  "unknownUpstream",
-}
-
 // counters are the packet counters. They are made once, so that counting takes
 // no look-up by name.
 type counters struct {
@@ -57,8 +40,8 @@
 		callsDropped:     s.Counter("controlCallsDropped"),
 		callsRejected:    s.Counter("controlCallsRejected"),
 	}
-	for _, r := range reasons {
-		t := s.Tagged(map[string]string{"reason": r})
+	for _, r := range bvroute.Reasons() {
+		t := s.Tagged(map[string]string{"reason": r.String()})
 		c.droppedBy = append(c.droppedBy, t.Counter("packetsDropped"))
 		c.refusedBy = append(c.refusedBy, t.Counter("packetsRefusedBy"))
 	}
@@ -70,11 +53,5 @@
 
 func (c *counters) bad(err error) { c.malformed[bvtunnel.KindOf(err)].Inc(1) }
 
-// reasonOf returns the counter of r; a reason that this package does not know
-// yet is counted as none.
-func reasonOf(l []tally.Counter, r bvroute.Reason) tally.Counter {
-	if int(r) < len(l) {
-		return l[r]
-	}
-	return l[0]
-}
+// reasonOf returns the counter of r.
+func reasonOf(l []tally.Counter, r bvroute.Reason) tally.Counter { return l[r] }
