--- a/bench/bvgroup/bvgroup.go
+++ b/bench/bvgroup/bvgroup.go
@@ -277,6 +277,7 @@
 		return
 	}
 	r := p.Node.SyncRequest(g.now, bvconfig.NodeIDOf(m.Name), a.Cursor, a.Limit)
+	r.Token = a.Token
 	g.failed(g.meter.sync(m, p, a, r))
 	g.handle(m, r)
 }
--- a/core/bvmember/bvmember.go
+++ b/core/bvmember/bvmember.go
@@ -140,6 +140,7 @@
 	news        time.Time // Last platform contact heard of, own or a peer's.
 	read        time.Time // Time of the next own read of the platform.
 	listed      time.Time // When the first published list was known.
+	metActive   bool      // Some peer was not joining when it was first heard.
 	doubted     time.Time // Of the first unanswered verdict of another zone.
 	draws       uint64
 	sequence    uint64 // Of the last heartbeat sent.
@@ -347,3 +348,7 @@
 	}
 	return true
 }
+
+// Founding reports whether this node has started together with the whole
+// group: it has heard every published peer, and none had been active before.
+func (m *Members) Founding() bool { return !m.metActive && !m.Unheard() }
--- a/core/bvmember/change.go
+++ b/core/bvmember/change.go
@@ -120,6 +120,7 @@
 
 // rejoin returns this node to joining, out of sync with all peers.
 func (m *Members) rejoin(now time.Time) {
+	m.metActive = true // Others have been active meanwhile.
 	if m.state != StateLeaving {
 		m.state = StateJoining
 	}
@@ -220,6 +221,7 @@
 	case wasDead:
 		p.InSync = m.options.reviveUnchanged
 	case first:
+		m.metActive = m.metActive || h.State != StateJoining
 		// A node that starts has placed no flows that this one could lack.
 		p.InSync = m.state != StateJoining && h.State == StateJoining
 	}
--- a/core/bvnode/bvnode.go
+++ b/core/bvnode/bvnode.go
@@ -49,6 +49,9 @@
 	// node, and may hold exceptions that it needs; configurations are in force
 	// everywhere within seconds.
 	unheardLimit = 10 * time.Second
+	// heartbeatBytes is what heartbeats take each second in a group of eight
+	// balancers; records get the rest of the control budget.
+	heartbeatBytes = 1000
 	// expireTicks is the number of ticks in which the whole table is looked at
 	// for expired entries.
 	expireTicks = 100
@@ -82,7 +85,7 @@
 		o.MaxFlows = 500_000
 	}
 	if o.ControlBytesPerSecond == 0 {
-		o.ControlBytesPerSecond = 2000
+		o.ControlBytesPerSecond = 3000
 	}
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = bvflow.DefaultLifetimes.Idle
@@ -114,6 +117,7 @@
 	listedAt   uint64    // The first revision that lists this node.
 	knownSince time.Time // When the first configuration was accepted.
 	shareOn    bool
+	founded    bool // The group has started together with this node.
 	queueOver  bool
 	watching   bool
 	stale      bool // The picture has to be compiled again.
@@ -154,10 +158,16 @@
 	n.table = bvflow.NewTable(o.MaxFlows, o.Started, lifetimes)
 	n.router = bvroute.New(n.self, o.Zone,
 		bvroute.Options{OpeningWindow: o.OpeningWindow, IdleTimeout: o.IdleTimeout}, n.table, n.limiter)
-	n.sweeper = bvsync.New(n.router, bvsync.Options{BytesPerSecond: o.ControlBytesPerSecond})
+	n.sweeper = bvsync.New(n.router, bvsync.Options{BytesPerSecond: n.syncBytes()})
 	return n
 }
 
+// syncBytes returns the bytes a second for records: what heartbeats leave of
+// the control budget, and at least a third of it.
+func (n *Node) syncBytes() int {
+	return max(n.options.ControlBytesPerSecond-heartbeatBytes, n.options.ControlBytesPerSecond/3, 1)
+}
+
 // Packet decides on one packet. trail and record are zero for a packet that
 // comes from the fabric.
 func (n *Node) Packet(now time.Time, p bvflow.Packet, trail bvroute.Trail, record bvroute.Record) bvroute.Decision {
--- a/core/bvnode/datagram_test.go
+++ b/core/bvnode/datagram_test.go
@@ -15,14 +15,14 @@
 // runs twice: its first copy goes to a VM of a zone that is taken out before
 // the next copy, and the new owner sends that one to a VM of its own zone.
 //
-// Balancers that have just started can't tell whether a request was sent
-// before, so they serve new ones only after the opening window.
+// Balancers that have started together with the group know that no request was
+// sent before, so they serve new ones at once.
 func TestPromise7DatagramWhileZoneLeaves(t *testing.T) {
-	twice, _ := datagramsWhileZoneLeaves(t, 8*time.Second)
-	assert.Zero(t, twice)
-	twice, whole := datagramsWhileZoneLeaves(t, 70*time.Second)
-	assert.Zero(t, twice)
-	assert.Equal(t, 200, whole)
+	for _, uptime := range []time.Duration{8 * time.Second, 70 * time.Second} {
+		twice, whole := datagramsWhileZoneLeaves(t, uptime)
+		assert.Zero(t, twice, uptime)
+		assert.Equal(t, 200, whole, uptime)
+	}
 }
 
 func datagramsWhileZoneLeaves(t *testing.T, uptime time.Duration) (twice, whole int) {
--- a/core/bvnode/picture.go
+++ b/core/bvnode/picture.go
@@ -7,6 +7,7 @@
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvfinding"
 	"balsamvane/core/bvlimit"
+	"balsamvane/core/bvmember"
 	"balsamvane/core/bvroute"
 )
 
@@ -107,7 +108,7 @@
 	n.members.SetVersion(c.Version, base.Config.Version.Revision)
 	n.store.Prune(n.members.LowestBase())
 	n.forgetLeft()
-	p := bvroute.Picture{State: n.members.State(), Config: c, Bases: n.basesInUse(base)}
+	p := bvroute.Picture{State: n.members.State(), Founding: n.founding(), Config: c, Bases: n.basesInUse(base)}
 	for _, u := range n.retired {
 		p.Retired = append(p.Retired, u)
 	}
@@ -155,3 +156,13 @@
 	}
 	return s
 }
+
+// founding reports whether the group has started together with this node. It
+// is decided when the node becomes active, since later peers say nothing of
+// the time before.
+func (n *Node) founding() bool {
+	if n.members.State() == bvmember.StateJoining {
+		n.founded = n.members.Founding()
+	}
+	return n.founded
+}
--- a/core/bvnode/records.go
+++ b/core/bvnode/records.go
@@ -107,7 +107,7 @@
 			pulls++
 		}
 	}
-	perSecond := max(n.options.ControlBytesPerSecond/max(pulls, 1), 1)
+	perSecond := max(n.syncBytes()/max(pulls, 1), 1)
 	return time.Duration(records*bvsync.RecordBytes+bvsync.CallBytes) * time.Second / time.Duration(perSecond)
 }
 
--- a/core/bvroute/picture.go
+++ b/core/bvroute/picture.go
@@ -13,8 +13,11 @@
 // limits. The router copies what it needs.
 type Picture struct {
 	// State is this node's own state.
-	State  bvmember.State
-	Config bvconfig.Config
+	State bvmember.State
+	// Founding tells that this node has started together with the whole group,
+	// so that no request can have been sent before.
+	Founding bool
+	Config   bvconfig.Config
 	// Bases are the base revisions in use. The first one gives the base
 	// picks; a flow that differs from the pick at any of them is an exception.
 	Bases []Base
--- a/core/bvroute/place.go
+++ b/core/bvroute/place.go
@@ -88,9 +88,12 @@
 	return d, ok
 }
 
-// fresh reports whether this node has started within the opening window, so
-// that it can't say whether a request has been sent before.
-func (c *passage) fresh() bool { return c.now.Sub(c.started) <= c.options.OpeningWindow }
+// fresh reports whether this node has started within the opening window in a
+// group that was running, so that it can't say whether a request has been sent
+// before.
+func (c *passage) fresh() bool {
+	return !c.view.founding && c.now.Sub(c.started) <= c.options.OpeningWindow
+}
 
 // baseReduced reports whether something has left the base list. A node that
 // has just started does not know when that was.
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -68,7 +68,7 @@
 // middle of an established flow that this node decides and that needs no
 // renewal, and nil for all others. It saves the copies of the full decision.
 func (r *Router) usual(p bvflow.Phase, e *bvflow.Entry, seconds uint32, s *service) *target {
-	if e.State != bvflow.StateEstablished || !e.Has(bvflow.FlagOwner) || e.Has(bvflow.FlagAdopted) ||
+	if e.State != bvflow.StateEstablished || !e.Has(bvflow.FlagOwner|bvflow.FlagCounted) || e.Has(bvflow.FlagAdopted) ||
 		p != bvflow.PhaseEstablished && p != bvflow.PhaseDatagram || age(seconds, e.Seen) > r.options.OpeningWindow {
 		return nil
 	}
@@ -330,7 +330,7 @@
 	if c.opening() && e.State == bvflow.StateOpening && e.Has(bvflow.FlagCounted) {
 		c.limiter.Retransmitted(c.now, t.id)
 	}
-	if !e.Has(bvflow.FlagOwner) && c.selfOwns() {
+	if !e.Has(bvflow.FlagOwner|bvflow.FlagCounted) && c.selfOwns() {
 		e.Flags |= bvflow.FlagOwner
 		if e.State <= bvflow.StateEstablished {
 			c.count(c.now, e)
--- a/core/bvroute/sweep.go
+++ b/core/bvroute/sweep.go
@@ -102,33 +102,33 @@
 	return h, h.Count > 0
 }
 
-// recount adds or removes an entry that this node has started or ceased to
-// own. A former owner does not see how the flow goes on.
+// recount stops counting an entry that this node has ceased to own, since it
+// does not see how the flow goes on. The flow's next packet at its present
+// owner counts it there.
 func (r *Router) recount(now time.Time, e *bvflow.Entry, t *target) {
-	if !e.Has(bvflow.FlagOwner) {
+	if !e.Has(bvflow.FlagCounted) {
 		return
 	}
 	_, placing := r.view.placing(t.service, e.Key)
-	o := r.view.owner(e.Key, placing)
-	switch {
-	case o == nil:
-	case o.ID != r.self:
+	if o := r.view.owner(e.Key, placing); o != nil && o.ID != r.self {
 		r.uncount(now, e)
-	case e.State <= bvflow.StateEstablished:
-		r.count(now, e)
 	}
 }
 
-// endedAfter is the silence after which a closed flow is taken for ended while
-// the table is under pressure.
-const endedAfter = 5 * time.Second
+const (
+	// endedAfter is the silence after which a closed flow is taken for ended
+	// while there are many flows.
+	endedAfter = 5 * time.Second
+	// manyFlows is the number of entries from which closed flows are not sent:
+	// at 24 bytes each they would take the whole byte budget for minutes.
+	manyFlows = 10_000
+)
 
 // ended reports whether the record of a closed flow is not sent to new
-// members. With many short flows the closed ones would take the whole byte
-// budget; otherwise they are sent, since a half-closed flow may be silent while
-// it waits for its answer.
+// members. With few flows closed ones are sent too, since a half-closed flow
+// may be silent while it waits for its answer.
 func (r *Router) ended(now time.Time, e *bvflow.Entry) bool {
-	return r.table.Pressed() && e.State >= bvflow.StateClosing && e.State != bvflow.StateRefused &&
+	return r.table.Len() > manyFlows && e.State >= bvflow.StateClosing && e.State != bvflow.StateRefused &&
 		age(r.table.Seconds(now), e.Seen) > endedAfter
 }
 
--- a/core/bvroute/view.go
+++ b/core/bvroute/view.go
@@ -118,6 +118,7 @@
 	peers     map[bvconfig.NodeID]node
 	synced    bool // With all active peers.
 	agreed    bool // All peers run the same configuration.
+	founding  bool // The group has started together with this node.
 	disabled  mechanism
 	newest    *node // The peer with the highest configuration, if that is above this node's.
 	ownership uint64
@@ -141,8 +142,8 @@
 
 func newView(self bvconfig.NodeID, selfZone string, p Picture, gone removals, disabled mechanism) *view {
 	v := &view{
-		disabled: disabled,
-		self:     self, selfZone: -1, state: p.State, hasher: bvflow.NewHasher(p.Config.HashSeed),
+		disabled: disabled, founding: p.Founding,
+		self: self, selfZone: -1, state: p.State, hasher: bvflow.NewHasher(p.Config.HashSeed),
 		services: map[address]*service{}, byName: map[string]*service{},
 		upstreams: map[bvconfig.UpstreamID]*target{}, peers: map[bvconfig.NodeID]node{},
 		synced: true, agreed: true,
