--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -68,7 +68,7 @@
 // middle of an established flow that this node decides and that needs no
 // renewal, and nil for all others. It saves the copies of the full decision.
 func (r *Router) usual(p bvflow.Phase, e *bvflow.Entry, seconds uint32, s *service) *target {
-	if e.State != bvflow.StateEstablished || !e.Has(bvflow.FlagOwner) || e.Has(bvflow.FlagAdopted) ||
+	if e.State != bvflow.StateEstablished || !e.Has(bvflow.FlagOwner|bvflow.FlagCounted) || e.Has(bvflow.FlagAdopted) ||
 		p != bvflow.PhaseEstablished && p != bvflow.PhaseDatagram || age(seconds, e.Seen) > r.options.OpeningWindow {
 		return nil
 	}
@@ -208,7 +208,10 @@
 	if request && !c.selfOwns() && c.trail.Count > 0 && c.fresh() && c.enabled(openingWindow) {
 		return drop(ReasonUncertainOpening)
 	}
-	if n := c.unsynced(); n != nil {
+	// Openings without a request are placed here at once. Handing them to each
+	// peer that has not been synced with would let a balancer that was replaced
+	// place the new flows of the whole group.
+	if n := c.unsynced(); n != nil && !(c.opening() && !c.runsTwice() && c.selfOwns()) {
 		if d, ok := c.handTo(n); ok {
 			return d
 		}
@@ -327,7 +330,7 @@
 	if c.opening() && e.State == bvflow.StateOpening && e.Has(bvflow.FlagCounted) {
 		c.limiter.Retransmitted(c.now, t.id)
 	}
-	if !e.Has(bvflow.FlagOwner) && c.selfOwns() {
+	if !e.Has(bvflow.FlagOwner|bvflow.FlagCounted) && c.selfOwns() {
 		e.Flags |= bvflow.FlagOwner
 		if e.State <= bvflow.StateEstablished {
 			c.count(c.now, e)
