Use the usual terms for pauses, suspicion and the decision's context

Cause: a read-through found names that a newcomer has to look up. Change: Overslept is Paused, passage is packetContext, accused is suspected, chill is restartRamp, and similar; no behaviour changes. Ruled out: renaming the tests' fleet, which is small and local.

--- a/core/bvlimit/health.go
+++ b/core/bvlimit/health.go
@@ -33,9 +33,9 @@
 	slices.SortFunc(ws, func(a, b WarmState) int { return cmp.Compare(a.Upstream, b.Upstream) })
 }
 
-// chill restarts an upstream's ramp after it was found cold. What peers say of
+// restartRamp restarts an upstream's ramp after it was found cold. What peers say of
 // the time before does not hold any more.
-func (l *Limiter) chill(x *upstream, at time.Duration) {
+func (l *Limiter) restartRamp(x *upstream, at time.Duration) {
 	x.rampStart, x.tokens, x.refilled = at, 0, at
 	x.learnable = false
 	x.window = [2]openings{}
@@ -74,7 +74,7 @@
 	if float64(again) > sent*l.options.UnansweredFraction {
 		x.ejectUntil = at + l.options.EjectFor
 	}
-	l.chill(x, at)
+	l.restartRamp(x, at)
 	l.judge(x, at)
 }
 
@@ -88,7 +88,7 @@
 	restarted := x.reported && !x.report.StartedAt.IsZero() && !r.StartedAt.IsZero() && !r.StartedAt.Equal(x.report.StartedAt)
 	turnedCold := r.State == StateCold && (!x.reported || x.report.State != StateCold) && at-x.rampStart >= x.WarmUp
 	if restarted || turnedCold {
-		l.chill(x, at)
+		l.restartRamp(x, at)
 	}
 	if l.options.trustReports && r.State == StateWarm {
 		x.rampStart = at - x.WarmUp
--- a/core/bvmember/bvmember.go
+++ b/core/bvmember/bvmember.go
@@ -54,16 +54,16 @@
 	Seed uint64
 
 	// Tests switch off one mechanism each.
-	ignorePause       bool
-	ignoreVerdicts    bool
-	ignoreAccusations bool
-	ignoreVersions    bool
-	yieldAlways       bool
-	reviveUnchanged   bool
-	noSilenceReading  bool
-	noPromotion       bool
-	noDoubt           bool
-	anyOrder          bool
+	ignorePause      bool
+	ignoreVerdicts   bool
+	ignoreReports    bool
+	ignoreVersions   bool
+	yieldAlways      bool
+	reviveUnchanged  bool
+	noSilenceReading bool
+	noPromotion      bool
+	noDeferral       bool
+	anyOrder         bool
 }
 
 func (o Options) withDefaults() Options {
@@ -102,13 +102,13 @@
 type peer struct {
 	Peer
 	heard time.Time // Of the last heartbeat.
-	// accused is when an active node of the peer's own zone last took it for
+	// suspected is when an active node of the peer's own zone last took it for
 	// dead.
-	accused  time.Time
-	due      time.Time // Of the next heartbeat to it.
-	rank     uint64
-	ready    uint64 // The ready revision of the last heartbeat.
-	sequence uint64 // Of the last heartbeat of the incarnation.
+	suspected time.Time
+	due       time.Time // Of the next heartbeat to it.
+	rank      uint64
+	ready     uint64 // The ready revision of the last heartbeat.
+	sequence  uint64 // Of the last heartbeat of the incarnation.
 	// declared is true if another peer takes this one for dead.
 	declared bool
 }
@@ -123,29 +123,29 @@
 // Members is the membership view of one balancer. It is not safe for
 // concurrent use.
 type Members struct {
-	options     Options
-	self        bvconfig.NodeID
-	zone        string
-	incarnation uint64
-	state       State
-	version     bvconfig.Version
-	base        uint64
-	ready       uint64
-	rejected    bvconfig.Version
-	peers       map[bvconfig.NodeID]*peer
-	order       []*peer // By node ID.
-	seen        time.Time
-	zoneActive  time.Time // When the zone last had an active node.
-	contact     time.Time // Own last platform contact.
-	news        time.Time // Last platform contact heard of, own or a peer's.
-	read        time.Time // Time of the next own read of the platform.
-	listed      time.Time // When the first published list was known.
-	metActive   bool      // Some peer was not joining when it was first heard.
-	doubted     time.Time // Of the first unanswered verdict of another zone.
-	draws       uint64
-	sequence    uint64 // Of the last heartbeat sent.
-	fetchAgain  time.Time
-	fetches     uint64
+	options       Options
+	self          bvconfig.NodeID
+	zone          string
+	incarnation   uint64
+	state         State
+	version       bvconfig.Version
+	base          uint64
+	ready         uint64
+	rejected      bvconfig.Version
+	peers         map[bvconfig.NodeID]*peer
+	order         []*peer // By node ID.
+	seen          time.Time
+	zoneActive    time.Time // When the zone last had an active node.
+	contact       time.Time // Own last platform contact.
+	news          time.Time // Last platform contact heard of, own or a peer's.
+	read          time.Time // Time of the next own read of the platform.
+	listed        time.Time // When the first published list was known.
+	metActive     bool      // Some peer was not joining when it was first heard.
+	deferredSince time.Time // Of the first unanswered verdict of another zone.
+	draws         uint64
+	sequence      uint64 // Of the last heartbeat sent.
+	fetchAgain    time.Time
+	fetches       uint64
 }
 
 // New returns the view of a joining balancer that knows no peers. incarnation
--- a/core/bvmember/bvmember_test.go
+++ b/core/bvmember/bvmember_test.go
@@ -112,7 +112,7 @@
 		f.offer(1, config(2, "a", "a", "a"))
 		f.run(10 * time.Second)
 		f.paused[0] = false
-		stale = !o.ignorePause && !f.nodes[0].Overslept(f.now.Add(step))
+		stale = !o.ignorePause && !f.nodes[0].Paused(f.now.Add(step))
 		for range 30 {
 			f.step()
 			stale = stale || f.nodes[0].State() == StateActive && f.stores[0].Version().Revision < 2
--- a/core/bvmember/change.go
+++ b/core/bvmember/change.go
@@ -70,7 +70,7 @@
 // Tick lets time pass: it notices a pause of this node, peers that have missed
 // heartbeats, and an empty zone.
 func (m *Members) Tick(now time.Time) []Change {
-	cs := m.wake(now)
+	cs := m.checkPause(now)
 	for _, p := range m.order {
 		limit := m.silenceLimit(now, p)
 		if p.Alive && now.Sub(p.heard) >= limit {
@@ -83,26 +83,26 @@
 
 // silenceLimit returns how long a peer may be silent before it is dead. A peer
 // of another zone that its own zone has given up is given up here after half
-// of the missed heartbeats, since its neighbours hear it twice as often. That
+// of the missed heartbeats, since its neighbours markHeard it twice as often. That
 // ends the time in which this zone hands packets on to a dead node earlier.
 func (m *Members) silenceLimit(now time.Time, p *peer) time.Duration {
 	limit := time.Duration(m.options.Missed) * m.interval(p)
-	if p.Zone != m.zone && !p.accused.IsZero() && now.Sub(p.accused) < limit && !m.options.ignoreAccusations {
+	if p.Zone != m.zone && !p.suspected.IsZero() && now.Sub(p.suspected) < limit && !m.options.ignoreReports {
 		return limit / 2
 	}
 	return limit
 }
 
-// Overslept reports whether this node was paused and has not noticed yet, so
+// Paused reports whether this node was paused and has not noticed yet, so
 // that a packet that is handled before the next tick is not decided with an
 // old view. It changes nothing and does not allocate.
-func (m *Members) Overslept(now time.Time) bool {
+func (m *Members) Paused(now time.Time) bool {
 	return !m.options.ignorePause && !m.seen.IsZero() && now.Sub(m.seen) > m.options.PauseLimit
 }
 
-// wake handles the gap since the last tick or heartbeat.
-func (m *Members) wake(now time.Time) []Change {
-	paused, gap := m.Overslept(now), now.Sub(m.seen)
+// checkPause handles the gap since the last tick or heartbeat.
+func (m *Members) checkPause(now time.Time) []Change {
+	paused, gap := m.Paused(now), now.Sub(m.seen)
 	if gap > 0 || m.seen.IsZero() {
 		m.seen = now
 	}
@@ -166,7 +166,7 @@
 // Heartbeat takes an authenticated heartbeat. Heartbeats of nodes that are not
 // published, of this node itself and of earlier incarnations are ignored.
 func (m *Members) Heartbeat(now time.Time, h Heartbeat) []Change {
-	cs := m.wake(now)
+	cs := m.checkPause(now)
 	p := m.peers[h.Node]
 	if p == nil || h.Incarnation < p.Incarnation || h.Incarnation == 0 || m.overtaken(p, h) {
 		return cs
@@ -177,7 +177,7 @@
 	// A dead peer stays dead until it shows by a higher incarnation that it
 	// knows: before that it may still decide for keys that others took over.
 	if !wasDead || h.Incarnation > p.Incarnation || m.options.reviveUnchanged {
-		cs = append(cs, m.hear(now, p, h, wasDead)...)
+		cs = append(cs, m.markHeard(now, p, h, wasDead)...)
 	}
 	cs = append(cs, m.verdict(now, p, h, split{mutual: wasDead, outnumbered: outnumbered})...)
 	m.noteActive(now)
@@ -200,7 +200,7 @@
 		}
 		q.declared = true
 		if q.Zone == p.Zone && h.State == StateActive && d.Incarnation >= q.Incarnation {
-			q.accused = now
+			q.suspected = now
 		}
 	}
 	if h.PlatformAge < 0 || h.PlatformAge >= NoContact {
@@ -209,13 +209,13 @@
 	m.notePlatform(now.Add(-h.PlatformAge))
 }
 
-// hear counts a heartbeat as a sign of life.
-func (m *Members) hear(now time.Time, p *peer, h Heartbeat, wasDead bool) []Change {
+// markHeard counts a heartbeat as a sign of life.
+func (m *Members) markHeard(now time.Time, p *peer, h Heartbeat, wasDead bool) []Change {
 	first, fresh := p.Incarnation == 0, h.Incarnation > p.Incarnation
 	from := p.State
 	p.heard, p.Alive, p.State, p.Incarnation = now, true, h.State, h.Incarnation
 	if fresh {
-		p.accused = time.Time{}
+		p.suspected = time.Time{}
 	}
 	switch {
 	case wasDead:
@@ -285,11 +285,11 @@
 		if d.Node != m.self || d.Incarnation < m.incarnation || d.Incarnation+1 == 0 {
 			continue
 		}
-		if m.doubt(now, p) {
+		if m.defersVerdict(now, p) {
 			return nil
 		}
 		m.incarnation = d.Incarnation + 1
-		rejoin := m.state == StateActive && m.yields(p, h, s)
+		rejoin := m.state == StateActive && m.givesUpKeys(p, h, s)
 		if rejoin {
 			m.rejoin(now)
 		}
@@ -298,26 +298,26 @@
 	return nil
 }
 
-// doubt reports whether a verdict waits for those of this node's own zone. A
-// node that was paused without noticing may hear a verdict of another zone
+// defersVerdict reports whether a verdict waits for those of this node's own zone. A
+// node that was paused without noticing may markHeard a verdict of another zone
 // first; if it answered that one, its own zone would take it for active again,
 // although it lacks what was placed meanwhile.
-func (m *Members) doubt(now time.Time, p *peer) bool {
+func (m *Members) defersVerdict(now time.Time, p *peer) bool {
 	wait := 3 * m.options.HeartbeatInZone
-	if p.Zone == m.zone || !m.activePeerInZone() || m.options.noDoubt {
+	if p.Zone == m.zone || !m.activePeerInZone() || m.options.noDeferral {
 		return false
 	}
-	if m.doubted.IsZero() || now.Sub(m.doubted) > 10*wait {
-		m.doubted = now
+	if m.deferredSince.IsZero() || now.Sub(m.deferredSince) > 10*wait {
+		m.deferredSince = now
 	}
-	return now.Sub(m.doubted) < wait
+	return now.Sub(m.deferredSince) < wait
 }
 
-// yields reports whether this node gives up its keys after a peer took it for
+// givesUpKeys reports whether this node gives up its keys after a peer took it for
 // dead. Only active nodes of its own zone can have taken them over. If each
 // took the other for dead, one side stays active, so that the zone is not
 // without an active node when the partition heals.
-func (m *Members) yields(p *peer, h Heartbeat, s split) bool {
+func (m *Members) givesUpKeys(p *peer, h Heartbeat, s split) bool {
 	if m.options.yieldAlways {
 		return true
 	}
--- a/core/bvmember/accused_test.go
+++ b/core/bvmember/suspected_test.go
@@ -8,10 +8,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestAccusedPeer guards against a zone that goes on handing packets to a dead
+// TestSuspectedPeer guards against a zone that goes on handing packets to a dead
 // node of another zone although that node's neighbours have given it up, and
-// against an accusation that outlives the restart of the accused.
-func TestAccusedPeer(t *testing.T) {
+// against a suspicion that outlives the restart of the node.
+func TestSuspectedPeer(t *testing.T) {
 	run := func(o Options) time.Duration {
 		f := newFleet(o, "a", "b", "b", "b")
 		f.run(5 * time.Second)
@@ -26,19 +26,19 @@
 		}
 	}
 	assert.LessOrEqual(t, run(Options{}), 3100*time.Millisecond)
-	assert.Greater(t, run(Options{ignoreAccusations: true}), 3100*time.Millisecond)
+	assert.Greater(t, run(Options{ignoreReports: true}), 3100*time.Millisecond)
 
 	m := New(1, "a", 1, Options{})
 	c := config(1, "a", "b", "b")
 	m.SetBalancers(begin, c.Balancers)
-	accuser, accused := c.Balancers[1].ID(), c.Balancers[2].ID()
-	m.Heartbeat(begin, Heartbeat{Node: accused, Incarnation: 1, State: StateActive})
-	m.Heartbeat(begin, Heartbeat{Node: accuser, Incarnation: 1, State: StateActive, Dead: []DeadPeer{{accused, 1}}})
-	m.Heartbeat(begin.Add(step), Heartbeat{Node: accused, Incarnation: 2, State: StateActive})
+	reporter, suspected := c.Balancers[1].ID(), c.Balancers[2].ID()
+	m.Heartbeat(begin, Heartbeat{Node: suspected, Incarnation: 1, State: StateActive})
+	m.Heartbeat(begin, Heartbeat{Node: reporter, Incarnation: 1, State: StateActive, Dead: []DeadPeer{{suspected, 1}}})
+	m.Heartbeat(begin.Add(step), Heartbeat{Node: suspected, Incarnation: 2, State: StateActive})
 	for at := 2 * step; at < 3*time.Second; at += step {
-		m.Heartbeat(begin.Add(at), Heartbeat{Node: accuser, Incarnation: 1, State: StateActive})
+		m.Heartbeat(begin.Add(at), Heartbeat{Node: reporter, Incarnation: 1, State: StateActive})
 		m.Tick(begin.Add(at))
 	}
-	p, _ := m.Peer(accused)
+	p, _ := m.Peer(suspected)
 	assert.True(t, p.Alive)
 }
--- a/core/bvnode/bvnode.go
+++ b/core/bvnode/bvnode.go
@@ -171,7 +171,7 @@
 // Packet decides on one packet. trail and record are zero for a packet that
 // comes from the fabric.
 func (n *Node) Packet(now time.Time, p bvflow.Packet, trail bvroute.Trail, record bvroute.Record) bvroute.Decision {
-	if n.enabled(refreshAfterPause) && (n.members.Overslept(now) || now.Before(n.refresh.until)) {
+	if n.enabled(refreshAfterPause) && (n.members.Paused(now) || now.Before(n.refresh.until)) {
 		return bvroute.Decision{Verdict: bvroute.VerdictDrop, Reason: bvroute.ReasonPaused}
 	}
 	if record.Kind == bvroute.RecordRefused && !n.enabled(refusalRecords) {
--- a/core/bvnode/proofs_test.go
+++ b/core/bvnode/proofs_test.go
@@ -42,7 +42,7 @@
 	tr.run(8*time.Second + p.warmUp)
 	tr.requireActive()
 	p.before(tr)
-	tr.strike(r)
+	tr.inject(r)
 	for i := range p.steps {
 		tr.run(500 * time.Millisecond)
 		if i == 1 && p.during != nil {
--- a/core/bvroute/place.go
+++ b/core/bvroute/place.go
@@ -20,7 +20,7 @@
 
 // place chooses an upstream for a new flow. e is the entry that the flow
 // replaces, if any.
-func (c *passage) place(e *bvflow.Entry) Decision {
+func (c *packetContext) place(e *bvflow.Entry) Decision {
 	owns := c.selfOwns()
 	zone := c.placing
 	if !owns {
@@ -61,7 +61,7 @@
 // since the base list has changed: only that one knows whether it has. One in
 // the trail has not. If it is gone, the packet is dropped. ok is false if no
 // other owner had another pick.
-func (c *passage) askFormerOwner() (d Decision, ok bool) {
+func (c *packetContext) askFormerOwner() (d Decision, ok bool) {
 	now, _ := c.service.basePick(c.key)
 	c.recent(c.now, func(v *view) bool {
 		t := v.byName[c.service.name]
@@ -91,13 +91,13 @@
 // fresh reports whether this node has started within the opening window in a
 // group that was running, so that it can't say whether a request has been sent
 // before.
-func (c *passage) fresh() bool {
+func (c *packetContext) fresh() bool {
 	return !c.view.founding && c.now.Sub(c.started) <= c.options.OpeningWindow
 }
 
 // baseReduced reports whether something has left the base list. A node that
 // has just started does not know when that was.
-func (c *passage) baseReduced() bool {
+func (c *packetContext) baseReduced() bool {
 	if len(c.bases) == 0 {
 		return false
 	}
@@ -107,7 +107,7 @@
 
 // onlyPick returns the one upstream to which any other owner would have sent
 // the packet as well, or nil if there is none or it can't take the flow.
-func (c *passage) onlyPick(zone int) *target {
+func (c *packetContext) onlyPick(zone int) *target {
 	t, base := c.service.basePick(c.key)
 	if t == nil || base != zone || t != c.service.current.upstreamIn(c.key, zone) {
 		return nil
@@ -120,7 +120,7 @@
 
 // choose goes down the ranking of the zone's upstreams that take new flows,
 // and returns the first that has room, or nil.
-func (c *passage) choose(zone int) *target {
+func (c *packetContext) choose(zone int) *target {
 	l := &c.service.current.lists[zone]
 	var order [maxCandidates]int
 	n := bvpick.Rank(c.key, l.candidates, order[:])
@@ -149,7 +149,7 @@
 
 // exception reports whether t differs from the pick at any base in use. While
 // the only base list equals the current one, the current pick tells.
-func (c *passage) exception(t *target) bool {
+func (c *packetContext) exception(t *target) bool {
 	if c.service.quiet && c.first != nil {
 		return t != c.first
 	}
@@ -157,13 +157,13 @@
 }
 
 // lessLoaded reports whether second has clearly fewer open flows than first.
-func (c *passage) lessLoaded(second, first bvconfig.UpstreamID) bool {
+func (c *packetContext) lessLoaded(second, first bvconfig.UpstreamID) bool {
 	a, b := c.limiter.OpenFlows(first), c.limiter.OpenFlows(second)
 	return a >= b+loadMarginFlows && a*100 > b*(100+loadMarginPercent)
 }
 
 // enter makes the entry of a new flow to t and sends its opening packet.
-func (c *passage) enter(e *bvflow.Entry, t *target) Decision {
+func (c *packetContext) enter(e *bvflow.Entry, t *target) Decision {
 	replaced := e != nil && e.Has(bvflow.FlagException)
 	if e == nil {
 		var err error
@@ -187,7 +187,7 @@
 
 // refuse records a tombstone and refuses the flow once the replicas have
 // recorded it too.
-func (c *passage) refuse(e *bvflow.Entry) Decision {
+func (c *packetContext) refuse(e *bvflow.Entry) Decision {
 	if !c.enabled(tombstones) {
 		return Decision{Verdict: VerdictRefuse, Reason: ReasonNoCapacity}
 	}
@@ -207,7 +207,7 @@
 	return c.sendRefusal(e, ReasonNoCapacity)
 }
 
-func (c *passage) anyTarget() *target {
+func (c *packetContext) anyTarget() *target {
 	if t := c.service.current.upstream(c.key); t != nil {
 		return t
 	}
@@ -215,7 +215,7 @@
 	return t
 }
 
-func (c *passage) sendRefusal(e *bvflow.Entry, reason Reason) Decision {
+func (c *packetContext) sendRefusal(e *bvflow.Entry, reason Reason) Decision {
 	if c.enabled(replication) {
 		rec := c.view.replicas(c.service, c.key)
 		rec.Kind, rec.Upstream = RecordRefused, bvconfig.UpstreamID(e.Upstream)
@@ -229,7 +229,7 @@
 
 // refusedBefore answers a packet that has a tombstone. Copies of the opening
 // are refused again, since the first refusal may have been lost.
-func (c *passage) refusedBefore(e *bvflow.Entry) Decision {
+func (c *packetContext) refusedBefore(e *bvflow.Entry) Decision {
 	if !c.opening() && !c.datagram() {
 		return drop(ReasonRefusedBefore)
 	}
--- a/core/bvroute/record.go
+++ b/core/bvroute/record.go
@@ -10,7 +10,7 @@
 // record stores what a packet brings about its flow and passes the packet on
 // to the next replica; the last replica sends it to the upstream or sends the
 // refusal.
-func (c *passage) record(e *bvflow.Entry, rec Record) Decision {
+func (c *packetContext) record(e *bvflow.Entry, rec Record) Decision {
 	if e != nil {
 		if reason := c.conflict(e, rec); reason != ReasonNone {
 			return drop(reason)
@@ -44,7 +44,7 @@
 // concerns reports whether this node has to keep the record. It need not when
 // it only sends a packet in mid-flow for a balancer that lacks the newest
 // configuration.
-func (c *passage) concerns(e *bvflow.Entry, rec Record) bool {
+func (c *packetContext) concerns(e *bvflow.Entry, rec Record) bool {
 	if e != nil || rec.Count > 0 || rec.Kind == RecordRefused || c.opening() || c.datagram() {
 		return true
 	}
@@ -55,7 +55,7 @@
 // handBack returns a recorded packet to the owner that has placed it, or to
 // the last node that had it. The last replica does so while it does not have
 // the configuration with the upstream yet.
-func (c *passage) handBack(rec Record) Decision {
+func (c *packetContext) handBack(rec Record) Decision {
 	if c.trail.Count == 0 {
 		return drop(ReasonUnknownUpstream)
 	}
@@ -72,7 +72,7 @@
 
 // handRecord hands the packet on with a record whose upstream this node does
 // not know. Each step extends the trail, which bounds them.
-func (c *passage) handRecord(n *node, rec Record) Decision {
+func (c *packetContext) handRecord(n *node, rec Record) Decision {
 	if c.trail.Count == MaxVisited {
 		return drop(ReasonUnknownUpstream)
 	}
@@ -85,7 +85,7 @@
 // conflict returns the reason for which a record contradicts what this node
 // knows: a refusal of a flow that has run, or the placement of a flow that
 // was refused or that has been sent to another upstream.
-func (c *passage) conflict(e *bvflow.Entry, rec Record) Reason {
+func (c *packetContext) conflict(e *bvflow.Entry, rec Record) Reason {
 	if !c.enabled(tombstones) || !c.enabled(openingWindow) {
 		return ReasonNone
 	}
@@ -106,7 +106,7 @@
 // store keeps a record unless this node has a flow of its own under the key
 // that a packet in mid-flow does not replace. It returns false if the table
 // is full.
-func (c *passage) store(e *bvflow.Entry, rec Record) bool {
+func (c *packetContext) store(e *bvflow.Entry, rec Record) bool {
 	if e == nil {
 		var err error
 		if e, err = c.table.Insert(c.now, c.key); err != nil {
--- a/core/bvroute/route.go
+++ b/core/bvroute/route.go
@@ -14,8 +14,8 @@
 // next one goes to the upstream directly.
 const datagramGrace = 2 * time.Second
 
-// passage is one packet on its way through the decision.
-type passage struct {
+// packetContext is one packet on its way through the decision.
+type packetContext struct {
 	*Router
 	now     time.Time
 	seconds uint32 // Of now, since the table's epoch.
@@ -44,11 +44,11 @@
 	key, seconds := r.view.hasher.Key(p.Tuple), r.table.Seconds(now)
 	e := r.table.Lookup(key)
 	if e != nil && record.Kind == RecordNone {
-		if t := r.usual(p.Phase, e, seconds, s); t != nil {
+		if t := r.fastPath(p.Phase, e, seconds, s); t != nil {
 			return t.decision()
 		}
 	}
-	c := passage{Router: r, now: now, seconds: seconds, packet: p, trail: trail, key: key, service: s}
+	c := packetContext{Router: r, now: now, seconds: seconds, packet: p, trail: trail, key: key, service: s}
 	e = c.valid(e)
 	if record.Kind != RecordNone {
 		return c.record(e, record)
@@ -64,10 +64,10 @@
 	return c.known(e)
 }
 
-// usual returns the upstream of the most frequent kind of packet, one in the
+// fastPath returns the upstream of the most frequent kind of packet, one in the
 // middle of an established flow that this node decides and that needs no
 // renewal, and nil for all others. It saves the copies of the full decision.
-func (r *Router) usual(p bvflow.Phase, e *bvflow.Entry, seconds uint32, s *service) *target {
+func (r *Router) fastPath(p bvflow.Phase, e *bvflow.Entry, seconds uint32, s *service) *target {
 	if e.State != bvflow.StateEstablished || !e.Has(bvflow.FlagOwner|bvflow.FlagCounted) || e.Has(bvflow.FlagAdopted) ||
 		p != bvflow.PhaseEstablished && p != bvflow.PhaseDatagram || age(seconds, e.Seen) > r.options.OpeningWindow {
 		return nil
@@ -87,7 +87,7 @@
 
 // valid returns the packet's entry unless it has expired or belongs to
 // another service that had the address before.
-func (c *passage) valid(e *bvflow.Entry) *bvflow.Entry {
+func (c *packetContext) valid(e *bvflow.Entry) *bvflow.Entry {
 	if e == nil {
 		return nil
 	}
@@ -112,33 +112,33 @@
 	return e
 }
 
-func (c *passage) target(e *bvflow.Entry) *target {
+func (c *packetContext) target(e *bvflow.Entry) *target {
 	return c.view.upstreams[bvconfig.UpstreamID(e.Upstream)]
 }
 
 // ends reports whether the packet closes its flow.
-func (c *passage) ends() bool {
+func (c *packetContext) ends() bool {
 	return c.packet.Phase == bvflow.PhaseClosing || c.packet.Phase == bvflow.PhaseReset
 }
 
-func (c *passage) opening() bool { return c.packet.Phase == bvflow.PhaseOpening }
+func (c *packetContext) opening() bool { return c.packet.Phase == bvflow.PhaseOpening }
 
-func (c *passage) datagram() bool { return c.packet.Phase == bvflow.PhaseDatagram }
+func (c *packetContext) datagram() bool { return c.packet.Phase == bvflow.PhaseDatagram }
 
 // runsTwice reports whether the packet's request would run a second time at a
 // second upstream.
-func (c *passage) runsTwice() bool {
+func (c *packetContext) runsTwice() bool {
 	return (c.packet.Payload > 0 || c.datagram()) && !c.service.idempotent
 }
 
 // idle returns the time since the entry's last packet.
-func (c *passage) idle(e *bvflow.Entry) time.Duration { return age(c.seconds, e.Seen) }
+func (c *packetContext) idle(e *bvflow.Entry) time.Duration { return age(c.seconds, e.Seen) }
 
 func age(now, then uint32) time.Duration {
 	return time.Duration(int64(now)-int64(then)) * time.Second
 }
 
-func (c *passage) findOwner() *node {
+func (c *packetContext) findOwner() *node {
 	if !c.found {
 		c.configured, c.placing = c.view.placing(c.service, c.key)
 		c.owner, c.found = c.view.owner(c.key, c.placing), true
@@ -146,7 +146,7 @@
 	return c.owner
 }
 
-func (c *passage) selfOwns() bool {
+func (c *packetContext) selfOwns() bool {
 	o := c.findOwner()
 	return o != nil && o.ID == c.self
 }
@@ -156,7 +156,7 @@
 // the flow or has been silent for long, and a replica's record is for the time
 // when it becomes the owner. The owner in the home zone uses its record at
 // once, since the owner would come back to ask it.
-func (c *passage) mayUse(e *bvflow.Entry) bool {
+func (c *packetContext) mayUse(e *bvflow.Entry) bool {
 	closed := e.State == bvflow.StateClosed || e.State == bvflow.StateClosing && c.opening()
 	// What was adopted from the base pick is a guess that the owner may correct.
 	// A request that may have been sent by it must not be sent elsewhere.
@@ -179,7 +179,7 @@
 }
 
 // handTo hands the packet on to n, unless n has had it or is this node.
-func (c *passage) handTo(n *node) (d Decision, ok bool) {
+func (c *packetContext) handTo(n *node) (d Decision, ok bool) {
 	if n == nil || n.ID == c.self || c.trail.Contains(n.ID) {
 		return d, false
 	}
@@ -191,7 +191,7 @@
 }
 
 // unknown decides on a packet without an entry.
-func (c *passage) unknown() Decision {
+func (c *packetContext) unknown() Decision {
 	if !c.selfOwns() {
 		if d, ok := c.handTo(c.owner); ok {
 			return d
@@ -231,7 +231,7 @@
 // has not told this node yet, and that has not had the packet. A joining node
 // asks only the zone that places the flow about an opening: another zone would
 // place it there, while a later copy is placed where it belongs.
-func (c *passage) unsynced() *node {
+func (c *packetContext) unsynced() *node {
 	joining := c.view.state != bvmember.StateActive
 	if c.view.synced && !joining {
 		return nil
@@ -254,7 +254,7 @@
 // adopt decides on a packet in the middle of a flow that this node does not
 // know. Zones other than this one are asked first. A reset is never sent,
 // since another balancer may know the flow.
-func (c *passage) adopt() Decision {
+func (c *packetContext) adopt() Decision {
 	t, base := c.service.basePick(c.key)
 	if !c.enabled(basePicking) {
 		t = c.service.current.upstream(c.key)
@@ -304,7 +304,7 @@
 }
 
 // known decides on a packet whose entry may be used.
-func (c *passage) known(e *bvflow.Entry) Decision {
+func (c *packetContext) known(e *bvflow.Entry) Decision {
 	if e.State == bvflow.StateRefused {
 		return c.refusedBefore(e)
 	}
@@ -344,7 +344,7 @@
 // know yet to the balancer with the newest configuration. The record goes
 // along, so that the receiver need not know the flow, and may have had the
 // packet before.
-func (c *passage) delegate(e *bvflow.Entry) Decision {
+func (c *packetContext) delegate(e *bvflow.Entry) Decision {
 	if c.view.newest == nil {
 		return drop(ReasonUnknownUpstream)
 	}
@@ -353,7 +353,7 @@
 
 // renewable reports whether an opening packet for a closed flow starts a new
 // flow. Within the opening window it may be a late copy of the old opening.
-func (c *passage) renewable(e *bvflow.Entry) bool {
+func (c *packetContext) renewable(e *bvflow.Entry) bool {
 	if e.State != bvflow.StateClosing && e.State != bvflow.StateClosed {
 		return false
 	}
@@ -364,7 +364,7 @@
 }
 
 // advance notes the packet in its entry.
-func (c *passage) advance(e *bvflow.Entry) {
+func (c *packetContext) advance(e *bvflow.Entry) {
 	e.Seen = c.seconds
 	switch c.packet.Phase {
 	case bvflow.PhaseEstablished:
@@ -388,7 +388,7 @@
 
 // renewAfter returns the time after which an exception is renewed at its
 // replicas: a quarter of what they keep it for.
-func (c *passage) renewAfter(e *bvflow.Entry) time.Duration {
+func (c *packetContext) renewAfter(e *bvflow.Entry) time.Duration {
 	if e.State >= bvflow.StateClosing {
 		return c.table.Lifetime(e) / 4
 	}
@@ -400,7 +400,7 @@
 // timeout in this way, since the replicas see no other packets of the flow.
 // Closing packets go through all members, whoever has received them, so that
 // the owner stops counting the flow and no member keeps it for the idle time.
-func (c *passage) send(e *bvflow.Entry, t *target) Decision {
+func (c *packetContext) send(e *bvflow.Entry, t *target) Decision {
 	ends := c.ends() && c.enabled(closingRecords)
 	if !e.Has(bvflow.FlagException) || !e.Has(bvflow.FlagOwner) && !ends || !c.enabled(replication) {
 		return t.decision()
@@ -426,7 +426,7 @@
 
 // toReplica hands the packet and its record on to the first of the remaining
 // replicas that is a live peer.
-func (c *passage) toReplica(rec Record) (Decision, bool) {
+func (c *packetContext) toReplica(rec Record) (Decision, bool) {
 	for rec.Count > 0 {
 		next := rec.Replicas[0]
 		copy(rec.Replicas[:], rec.Replicas[1:])
--- a/standin/bvstandplatform/bvstandplatform.go
+++ b/standin/bvstandplatform/bvstandplatform.go
@@ -148,12 +148,12 @@
 		}
 	}
 	if changed {
-		p.wake()
+		p.checkPause()
 	}
 	return nil
 }
 
-func (p *Platform) wake() {
+func (p *Platform) checkPause() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -193,7 +193,7 @@
 		return false
 	}
 	p.counts.Mode = mode
-	p.wake()
+	p.checkPause()
 	return true
 }
 
