--- a/core/bvmember/change.go
+++ b/core/bvmember/change.go
@@ -83,7 +83,7 @@
 
 // silenceLimit returns how long a peer may be silent before it is dead. A peer
 // of another zone that its own zone has given up is given up here after half
-// of the missed heartbeats, since its neighbours markHeard it twice as often. That
+// of the missed heartbeats, since its neighbours hear it twice as often. That
 // ends the time in which this zone hands packets on to a dead node earlier.
 func (m *Members) silenceLimit(now time.Time, p *peer) time.Duration {
 	limit := time.Duration(m.options.Missed) * m.interval(p)
@@ -299,7 +299,7 @@
 }
 
 // defersVerdict reports whether a verdict waits for those of this node's own zone. A
-// node that was paused without noticing may markHeard a verdict of another zone
+// node that was paused without noticing may hear a verdict of another zone
 // first; if it answered that one, its own zone would take it for active again,
 // although it lacks what was placed meanwhile.
 func (m *Members) defersVerdict(now time.Time, p *peer) bool {
--- a/core/bvnode/faults_test.go
+++ b/core/bvnode/faults_test.go
@@ -355,7 +355,7 @@
 	}
 }
 
-// tick does what follows from the packetContext of time.
+// tick does what follows from the passing of time.
 func (t *trial) tick() {
 	var due []task
 	t.later = slices.DeleteFunc(t.later, func(x task) bool {
@@ -384,7 +384,7 @@
 	}
 }
 
-// watchConnections notes which nodes cannot markHeard of a new configuration.
+// watchConnections notes which nodes cannot hear of a new configuration.
 func (t *trial) watchConnections() {
 	connected := map[string]bool{}
 	for _, n := range t.names {
@@ -404,7 +404,7 @@
 	}
 }
 
-// informed reports whether a node has been able to markHeard of the published
+// informed reports whether a node has been able to hear of the published
 // configuration for a time.
 func (t *trial) informed(name string, d time.Duration) bool {
 	since := t.since
--- a/core/bvpick/log.go
+++ b/core/bvpick/log.go
@@ -17,7 +17,7 @@
 
 func buildLogTable() (t [1<<tableBits + 1]uint64) {
 	for i := range 1 << tableBits {
-		// x is 1+i/2^tableBits in units of 2^-63; each squaring givesUpKeys one
+		// x is 1+i/2^tableBits in units of 2^-63; each squaring yields one
 		// binary digit of its logarithm.
 		x := uint64(1)<<63 + uint64(i)<<(63-tableBits)
 		var y uint64
--- a/io/bvtunnel/socket.go
+++ b/io/bvtunnel/socket.go
@@ -16,7 +16,7 @@
 const BatchSize = 32
 
 // socketBuffer is the size in bytes of the kernel's receive and send buffers;
-// it holds about 3,000 packets of fastPath size, 1 ms at a million packets/s.
+// it holds about 3,000 packets of usual size, 1 ms at a million packets/s.
 const socketBuffer = 4 << 20
 
 // Socket is a UDP socket. Several sockets can share an address; the kernel
--- a/standin/bvstandplatform/bvstandplatform.go
+++ b/standin/bvstandplatform/bvstandplatform.go
@@ -148,12 +148,12 @@
 		}
 	}
 	if changed {
-		p.checkPause()
+		p.wake()
 	}
 	return nil
 }
 
-func (p *Platform) checkPause() {
+func (p *Platform) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -193,7 +193,7 @@
 		return false
 	}
 	p.counts.Mode = mode
-	p.checkPause()
+	p.wake()
 	return true
 }
 
