Publish the age of each input, open flows and imbalance as metrics

Cause: alerts had counters only; ages and imbalance were in status and dump. Ruled out: one gauge for each upstream, whose label set is not bounded.

--- /dev/null
+++ b/core/bvnode/measures.go
@@ -0,0 +1,61 @@
+package bvnode
+
+import (
+	"time"
+
+	"balsamvane/core/bvmember"
+)
+
+// Measures are a node's figures for metrics.
+type Measures struct {
+	Revision     uint64
+	BaseRevision uint64
+	Active       bool
+	PictureAge   time.Duration // Since the configuration came into force here.
+	PlatformAge  time.Duration // Since the last contact with the platform; [bvmember.NoContact] if none.
+	Flows        int
+	PeersAlive   int
+	// Imbalance is the largest number of open flows of an upstream of the
+	// node's zone, divided by the mean over the upstreams of the same service
+	// that take new flows; the largest of all services. It counts the flows
+	// that this node owns, and is 0 without any.
+	Imbalance float64
+}
+
+// Measures returns the node's figures.
+func (n *Node) Measures(now time.Time) Measures {
+	h := n.members.Self(now)
+	m := Measures{
+		Revision: h.Version.Revision, BaseRevision: h.BaseRevision, Active: h.State == bvmember.StateActive,
+		PlatformAge: h.PlatformAge, Flows: n.table.Len(), Imbalance: n.imbalance(),
+	}
+	if g, ok := n.store.At(m.Revision); ok {
+		m.PictureAge = now.Sub(g.Since)
+	}
+	for _, p := range n.members.Peers() {
+		if p.Alive {
+			m.PeersAlive++
+		}
+	}
+	return m
+}
+
+func (n *Node) imbalance() float64 {
+	type load struct{ upstreams, open, most int }
+	loads := map[string]load{}
+	c, _ := n.store.Current()
+	for _, u := range c.Upstreams {
+		if u.Zone != n.options.Zone || u.Leaving {
+			continue
+		}
+		l, open := loads[u.Service], n.limiter.OpenFlows(u.ID())
+		loads[u.Service] = load{l.upstreams + 1, l.open + open, max(l.most, open)}
+	}
+	worst := 0.0
+	for _, l := range loads {
+		if l.open > 0 {
+			worst = max(worst, float64(l.most*l.upstreams)/float64(l.open))
+		}
+	}
+	return worst
+}
--- a/io/bvdaemon/bvdaemon.go
+++ b/io/bvdaemon/bvdaemon.go
@@ -71,6 +71,7 @@
 	Config() (c bvconfig.Config, ok bool)
 	Generation(now time.Time, revision uint64) (c bvconfig.Config, age time.Duration, ok bool)
 	Status(now time.Time) bvnode.Status
+	Measures(now time.Time) bvnode.Measures
 	Dump(now time.Time) bvnode.Dump
 	Explain(now time.Time, t bvflow.Tuple) bvroute.Explanation
 }
@@ -100,6 +101,7 @@
 	tls      *bvpeer.TLSFiles
 	metrics  *bvadmin.Metrics
 	counters *counters
+	gauges   gauges
 	peers    *peerTable
 
 	fabric  []*bvtunnel.Socket
@@ -155,6 +157,7 @@
 	seed := uint64(d.self)
 	d.metrics = bvadmin.NewMetrics()
 	d.counters = newCounters(d.metrics.Scope)
+	d.gauges = newGauges(d.metrics.Scope)
 	d.codec = bvtunnel.NewCodec(d.keys)
 	d.client = bvpeer.NewClient(d.self, d.credentials(), clock, bvpeer.Options{Seed: seed})
 	d.prober = bvprobe.New(clock, d.handle, bvprobe.Options{Seed: seed})
@@ -273,6 +276,7 @@
 		if now := d.clock.Now(); now.Sub(checked) >= keyInterval {
 			checked = now
 			d.refreshKeys()
+			d.measure(now)
 		}
 	}
 }
