--- a/core/bvroute/place.go
+++ b/core/bvroute/place.go
@@ -95,14 +95,23 @@
 	return !c.view.founding && c.now.Sub(c.started) <= c.options.OpeningWindow
 }
 
-// baseReduced reports whether something has left the base list. A node that
-// has just started does not know when that was.
+// baseReduced reports whether something has left the base list that may have
+// been the flow's base pick. A node that has just started does not know when
+// that was.
 func (c *packetContext) baseReduced() bool {
 	if len(c.bases) == 0 {
 		return false
 	}
-	m := c.removed.of(c.bases[0].Revision)
-	return len(m.zones)+len(m.upstreams) > 0
+	base := c.service.bases[0].zone(c.key)
+	if c.view.home(c.service, c.key) != base {
+		return true
+	}
+	for id := range c.removed.of(c.bases[0].Revision).upstreams {
+		if t := c.view.upstreams[id]; t != nil && t.service == c.service && t.zone == base {
+			return true
+		}
+	}
+	return false
 }
 
 // onlyPick returns the one upstream to which any other owner would have sent
