Compare with the zones of the whole base list

Change: the check uses the ranking of the whole list. Ruled out: returning to one check for all keys, which dropped requests of services that had lost nothing.

--- a/core/bvroute/place.go
+++ b/core/bvroute/place.go
@@ -103,7 +103,7 @@
 		return false
 	}
 	base := c.service.bases[0].zone(c.key)
-	if c.view.home(c.service, c.key) != base {
+	if bvpick.Best(c.key, c.service.homes) != base {
 		return true
 	}
 	for id := range c.removed.of(c.bases[0].Revision).upstreams {
