Run on the operators' platform: tokens in place of entries, a catalog and its follower, the adapter

Cause: the platform's packets carry a field that both ends return, and nothing of the system may be written anywhere. The owner and replica design needs neither there, so a second way of the core decides from that token alone.

Ruled out: entries at owners (needs peers that the store does not list).

--- a/cmd/balsamvane/run.go
+++ b/cmd/balsamvane/run.go
@@ -3,20 +3,28 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"os/signal"
 	"syscall"
 
+	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvnode"
+	"balsamvane/io/bvadmin"
 	"balsamvane/io/bvdaemon"
+	"balsamvane/io/bvfollower"
+	"balsamvane/io/bvforwarder"
 	"balsamvane/io/bvsettings"
+	"balsamvane/platform"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 )
 
 // newRun returns the command that runs one balancer.
 func newRun() *cobra.Command {
-	var path string
+	var path, variable string
 	var printSettings bool
 	c := &cobra.Command{
 		Use:   "run",
@@ -28,17 +36,28 @@
 			if printSettings {
 				return bvsettings.Print(c.OutOrStdout())
 			}
+			if variable != "" {
+				path = os.Getenv(variable)
+			}
 			if path == "" {
-				return errors.New("balsamvane: run needs --settings FILE")
+				return errors.New("balsamvane: run needs --settings FILE, or --settings-variable with the name of a variable that is set")
 			}
 			return run(c, path)
 		},
 	}
 	c.Flags().StringVar(&path, "settings", "", "settings file (YAML)")
+	c.Flags().StringVar(&variable, "settings-variable", "", "environment variable with the path of the settings file")
 	c.Flags().BoolVar(&printSettings, "print-settings", false, "print the default settings and exit")
+	c.MarkFlagsMutuallyExclusive("settings", "settings-variable")
 	return c
 }
 
+// process is one balancer; it runs until its context ends and its
+// planned stop is done.
+type process interface {
+	Run(ctx context.Context) error
+}
+
 func run(c *cobra.Command, path string) error {
 	s, findings := bvsettings.Load(path)
 	if err := findings.Err(); err != nil {
@@ -49,7 +68,40 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	clock := clockwork.NewRealClock()
+	b, err := newBalancer(s, clockwork.NewRealClock(), log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop) // A second signal then ends the process.
+	return b.Run(ctx)
+}
+
+// newBalancer returns the balancer for the encapsulation of the settings.
+func newBalancer(s bvsettings.Settings, clock clockwork.Clock, log *zap.Logger) (process, error) {
+	switch s.Encapsulation {
+	case bvsettings.EncapsulationToken:
+		return newForwarder(s, clock, log)
+	case bvsettings.EncapsulationGeneve:
+		return newDaemon(s, clock, log)
+	default:
+		return nil, eris.Errorf("balsamvane: unknown encapsulation %q", s.Encapsulation)
+	}
+}
+
+// newForwarder returns a balancer for packets with tokens, on the operators'
+// platform.
+func newForwarder(s bvsettings.Settings, clock clockwork.Clock, log *zap.Logger) (process, error) {
+	metrics := bvadmin.NewMetrics()
+	calls := bvforwarder.CallCounter(metrics.Scope)
+	store := platform.NewStore(s.Platform.Addresses[0], log, calls)
+	follower := bvfollower.New(store, clock, log, bvfollower.Options{Seed: uint64(bvconfig.NodeIDOf(s.Node))})
+	return bvforwarder.New(s, clock, log, metrics, platform.Codec{}, follower, bvforwarder.Options{ReadyPath: platform.ReadyPath})
+}
+
+// newDaemon returns a balancer for packets in Geneve.
+func newDaemon(s bvsettings.Settings, clock clockwork.Clock, log *zap.Logger) (process, error) {
 	// The start time is larger than that of any earlier process of this VM,
 	// and needs no disk.
 	incarnation := uint64(clock.Now().UnixNano())
@@ -67,12 +119,5 @@
 		StopTimeout:           s.Timeouts.Stop,
 		Seed:                  incarnation,
 	})
-	d, err := bvdaemon.New(s, clock, log, node, bvdaemon.Options{Incarnation: incarnation, Decode: decodeConfig})
-	if err != nil {
-		return err
-	}
-	ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	context.AfterFunc(ctx, stop) // A second signal then ends the process.
-	return d.Run(ctx)
+	return bvdaemon.New(s, clock, log, node, bvdaemon.Options{Incarnation: incarnation, Decode: decodeConfig})
 }
--- /dev/null
+++ b/core/bvcatalog/catalog.go
@@ -0,0 +1,303 @@
+package bvcatalog
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"balsamvane/core/bvconfig"
+)
+
+// Token stands for an upstream in the header of a flow's packets. Both ends of
+// the flow return it, so every balancer can tell the upstream from the packet.
+type Token uint32
+
+// TokenOf returns the token of an upstream; 0 stands for none and is never
+// returned.
+func TokenOf(id bvconfig.UpstreamID) Token {
+	t := Token(uint64(id) ^ uint64(id)>>32)
+	return cmp.Or(t, 1)
+}
+
+// Entry is an upstream with what the catalog believes of it.
+type Entry struct {
+	Upstream
+	Token Token
+	// ColdUntil is when the upstream stops being cold.
+	ColdUntil time.Time
+	// Since is when the entry was seen first.
+	Since time.Time
+
+	revision Revision // Of the last change.
+	missing  bool     // The entry is removed, perhaps only expired.
+	gone     bool     // The entry is removed for good.
+	goneAt   time.Time
+	unusable bool // The entry cannot be read.
+	shadowed bool // A lower ID has the same token.
+}
+
+// Takes reports whether the upstream may take new flows.
+func (e *Entry) Takes() bool { return !e.gone && !e.Draining && !e.unusable && !e.shadowed }
+
+// Gone reports whether the upstream has left for good, so that its flows have
+// ended.
+func (e *Entry) Gone() bool { return e.gone }
+
+// Cold reports whether the upstream is cold.
+func (e *Entry) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
+
+// Service is a service with its entries, those that are gone left out.
+type Service struct {
+	ServiceLimits
+	Entries []*Entry
+}
+
+// Catalog is what is known of the platform. It is not safe for concurrent use.
+type Catalog struct {
+	options    Options
+	version    uint64
+	declared   bool
+	routes     map[netip.AddrPort]Route
+	limits     map[string]ServiceLimits
+	zonesOut   map[string]bool
+	entries    map[bvconfig.UpstreamID]*Entry
+	tokens     map[Token]*Entry
+	services   map[string]*Service
+	revision   Revision
+	listed     bool
+	contact    time.Time // Last answer of the platform.
+	settled    time.Time // End of the settle time after the last outage.
+	generation uint64
+}
+
+// New returns an empty catalog.
+func New(o Options) *Catalog {
+	return &Catalog{
+		options: o.withDefaults(), routes: map[netip.AddrPort]Route{}, limits: map[string]ServiceLimits{},
+		zonesOut: map[string]bool{}, entries: map[bvconfig.UpstreamID]*Entry{},
+		tokens: map[Token]*Entry{}, services: map[string]*Service{},
+	}
+}
+
+// Complete reports whether a configuration and a listing are known, so that
+// flows can be placed.
+func (c *Catalog) Complete() bool { return c.declared && c.listed }
+
+// Version returns the version of the configuration in force.
+func (c *Catalog) Version() uint64 { return c.version }
+
+// Revision returns the revision up to which the catalog is complete.
+func (c *Catalog) Revision() Revision { return c.revision }
+
+// Generation returns a number that grows with each change of what the catalog
+// says.
+func (c *Catalog) Generation() uint64 { return c.generation }
+
+// Age returns the time since the platform answered.
+func (c *Catalog) Age(now time.Time) time.Duration { return now.Sub(c.contact) }
+
+// Route returns the route of an address.
+func (c *Catalog) Route(a netip.AddrPort) (Route, bool) {
+	r, ok := c.routes[a]
+	return r, ok
+}
+
+// Routes returns the number of routes.
+func (c *Catalog) Routes() int { return len(c.routes) }
+
+// Service returns a service, or nil if it has neither limits nor upstreams.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// Services returns all services by name.
+func (c *Catalog) Services() map[string]*Service { return c.services }
+
+// ZoneOut reports whether a zone is out of service.
+func (c *Catalog) ZoneOut(zone string) bool { return c.zonesOut[zone] }
+
+// ZonesOut returns the names of the zones that are out of service.
+func (c *Catalog) ZonesOut() []string {
+	var out []string
+	for z := range c.zonesOut {
+		out = append(out, z)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// ByToken returns the upstream that a token stands for, also for some time
+// after it has gone, or nil.
+func (c *Catalog) ByToken(t Token) *Entry { return c.tokens[t] }
+
+// Answered takes note of an answer of the platform that reports no change.
+func (c *Catalog) Answered(now time.Time) {
+	if c.listed && c.Age(now) > c.options.OutageAfter {
+		c.settled = now.Add(c.options.Settle)
+	}
+	c.contact = now
+}
+
+// Replace takes a listing of all entries. Entries that it lacks are removed,
+// except for those changed after its revision.
+func (c *Catalog) Replace(now time.Time, r Revision, cs []Change) {
+	c.Answered(now)
+	listed := make(map[bvconfig.UpstreamID]bool, len(cs))
+	zones := map[string]bool{}
+	for _, ch := range cs {
+		switch v := ch.(type) {
+		case UpstreamPut:
+			listed[v.Upstream.ID] = true
+		case UpstreamUnreadable:
+			listed[v.ID] = true
+		case ZoneOut:
+			zones[v.Zone] = true
+		}
+		c.change(now, ch)
+	}
+	if r >= c.revision {
+		for id, e := range c.entries {
+			if !listed[id] && !e.gone && !e.missing && e.revision <= r {
+				c.remove(now, e, r)
+			}
+		}
+		c.zonesOut = zones
+	}
+	c.revision = max(c.revision, r)
+	c.listed = true
+	c.rebuild()
+}
+
+// Apply takes changes in the order of their revisions, up to revision r.
+func (c *Catalog) Apply(now time.Time, r Revision, cs []Change) {
+	c.Answered(now)
+	for _, ch := range cs {
+		c.change(now, ch)
+	}
+	c.revision = max(c.revision, r)
+	c.rebuild()
+}
+
+// Tick lets the settle time and the memory of gone upstreams end.
+func (c *Catalog) Tick(now time.Time) {
+	changed := false
+	for id, e := range c.entries {
+		switch {
+		case e.missing && !e.gone && !now.Before(c.settled):
+			e.gone, e.goneAt, changed = true, now, true
+		case e.gone && now.Sub(e.goneAt) > c.options.Remember:
+			delete(c.entries, id)
+			changed = true
+		}
+	}
+	if changed {
+		c.rebuild()
+	}
+}
+
+func (c *Catalog) change(now time.Time, ch Change) {
+	switch v := ch.(type) {
+	case Declared:
+		c.declare(v)
+	case ZoneOut:
+		c.zonesOut[v.Zone] = true
+	case ZoneBack:
+		delete(c.zonesOut, v.Zone)
+	case UpstreamPut:
+		c.put(now, v.Revision, v.Upstream)
+	case UpstreamGone:
+		if e := c.entries[v.ID]; e != nil && !e.gone && v.Revision > e.revision {
+			c.remove(now, e, v.Revision)
+		}
+	case UpstreamUnreadable:
+		if e := c.entries[v.ID]; e != nil && v.Revision > e.revision {
+			e.unusable, e.revision = true, v.Revision
+		}
+	}
+}
+
+// declare takes a configuration that is newer than the one in force. An older
+// one can only come from a store that answers with earlier states.
+func (c *Catalog) declare(d Declared) {
+	if c.declared && d.Version <= c.version && !c.options.lastWins {
+		return
+	}
+	c.version, c.declared = d.Version, true
+	c.routes = make(map[netip.AddrPort]Route, len(d.Routes))
+	for _, r := range d.Routes {
+		c.routes[r.Address] = r
+	}
+	c.limits = make(map[string]ServiceLimits, len(d.Services))
+	for _, s := range d.Services {
+		c.limits[s.Name] = s
+	}
+}
+
+func (c *Catalog) put(now time.Time, r Revision, u Upstream) {
+	e := c.entries[u.ID]
+	if e != nil && r <= e.revision {
+		return
+	}
+	if e == nil || e.gone {
+		e = &Entry{Token: TokenOf(u.ID), Since: now}
+		c.entries[u.ID] = e
+	}
+	e.Upstream, e.revision = u, r
+	e.missing, e.unusable = false, false
+	e.ColdUntil = now.Add(u.ColdFor)
+}
+
+// remove takes an entry out of use, or waits for the end of the settle time if
+// the entry may only have expired in an outage.
+func (c *Catalog) remove(now time.Time, e *Entry, r Revision) {
+	e.revision = r
+	if now.Before(c.settled) && !c.options.noSettle && !e.Draining {
+		e.missing = true
+		return
+	}
+	e.gone, e.goneAt = true, now
+}
+
+// rebuild makes the indexes anew.
+func (c *Catalog) rebuild() {
+	c.generation++
+	c.tokens = make(map[Token]*Entry, len(c.entries))
+	c.services = make(map[string]*Service, len(c.limits))
+	for name, l := range c.limits {
+		c.services[name] = &Service{ServiceLimits: l}
+	}
+	for _, id := range sortedIDs(c.entries) {
+		e := c.entries[id]
+		c.index(e)
+		if e.gone {
+			continue
+		}
+		s := c.services[e.Service]
+		if s == nil {
+			s = &Service{ServiceLimits: ServiceLimits{Name: e.Service}}
+			c.services[e.Service] = s
+		}
+		s.Entries = append(s.Entries, e)
+	}
+}
+
+// index enters a token. Of two upstreams with one token the one with the lower
+// ID has it on all balancers, and the other takes no new flows; one that is
+// gone gives way.
+func (c *Catalog) index(e *Entry) {
+	e.shadowed = false
+	switch other := c.tokens[e.Token]; {
+	case other == nil || other.gone && !e.gone:
+		c.tokens[e.Token] = e
+	case !e.gone:
+		e.shadowed = true
+	}
+}
+
+func sortedIDs(m map[bvconfig.UpstreamID]*Entry) []bvconfig.UpstreamID {
+	ids := make([]bvconfig.UpstreamID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/core/bvlimit/bvlimit.go
+++ b/core/bvlimit/bvlimit.go
@@ -44,6 +44,10 @@
 	EjectFor           time.Duration // 10 s for unanswered openings.
 	ReportAge          time.Duration // 6 s: older load reports are ignored.
 	Burst              time.Duration // 500 ms of the share's rate, at least one flow.
+	// EjectFraction is the largest part of a service that is left out as
+	// unhealthy. 1/3; a balancer that judges only by its own openings may
+	// leave out more, as long as others answer.
+	EjectFraction float64
 
 	// Tests switch off one mechanism each.
 	liveBalancers  int  // Share by this number instead of the published one.
@@ -65,6 +69,7 @@
 	o.EjectFor = cmp.Or(o.EjectFor, 10*time.Second)
 	o.ReportAge = cmp.Or(o.ReportAge, 6*time.Second)
 	o.Burst = cmp.Or(o.Burst, 500*time.Millisecond)
+	o.EjectFraction = cmp.Or(o.EjectFraction, 1.0/3)
 	return o
 }
 
@@ -80,9 +85,11 @@
 	Connections uint32 // 0 sets no bound.
 	// Cold and Warm bound the new flows per second over all balancers at the
 	// start and at the end of WarmUp. A Warm of 0 sets no bound once warm.
-	Cold    float64
-	Warm    float64
-	WarmUp  time.Duration
+	Cold   float64
+	Warm   float64
+	WarmUp time.Duration
+	// Flat keeps the bound at Cold for the whole of WarmUp.
+	Flat    bool
 	Leaving bool
 }
 
@@ -137,6 +144,9 @@
 	report     Report
 	reported   bool
 	bad        bool
+	// silent counts the last openings in a row that stayed unanswered.
+	silent      int
+	silentUntil time.Duration
 }
 
 // openings counts the openings sent to an upstream in a part of the window.
@@ -217,6 +227,9 @@
 	if age >= x.WarmUp || l.options.noRamp {
 		return x.Warm, x.Warm > 0
 	}
+	if x.Flat {
+		return x.Cold, true
+	}
 	warm := x.Warm
 	if warm == 0 {
 		warm = x.Cold * coldGrowth
@@ -308,7 +321,7 @@
 			bad++
 		}
 	}
-	return x.bad && (l.options.noPanic || 3*bad <= len(x.service.members))
+	return x.bad && (l.options.noPanic || float64(bad) <= l.options.EjectFraction*float64(len(x.service.members)))
 }
 
 // Opened records a new entry for a flow on u.
--- /dev/null
+++ b/io/bvforwarder/loop.go
@@ -0,0 +1,69 @@
+package bvforwarder
+
+import (
+	"balsamvane/core/bvtoken"
+	"balsamvane/io/bvtunnel"
+)
+
+// item is one decoded packet of a batch.
+type item struct {
+	raw      []byte
+	packet   bvtoken.Packet
+	decision bvtoken.Decision
+}
+
+// loop is what the packet loop reuses from batch to batch.
+type loop struct {
+	forwarder *Forwarder
+	in        *bvtunnel.InBatch
+	out       *bvtunnel.OutBatch
+	items     []item
+}
+
+func newLoop(w *Forwarder) *loop {
+	return &loop{
+		forwarder: w, in: bvtunnel.NewInBatch(), out: bvtunnel.NewOutBatch(),
+		items: make([]item, 0, bvtunnel.BatchSize),
+	}
+}
+
+// process decides on a batch with the router locked once, and sends it. A
+// packet leads to at most one other, so out never overflows.
+func (l *loop) process() {
+	w := l.forwarder
+	l.items = l.items[:0]
+	for i := range l.in.Len() {
+		raw := l.in.Packet(i)
+		p, err := w.codec.Decode(raw)
+		if err != nil {
+			w.counters.reason(bvtoken.VerdictDrop, bvtoken.ReasonMalformed)
+			continue
+		}
+		l.items = append(l.items, item{raw: raw, packet: p})
+	}
+	now := w.clock.Now()
+	w.mu.Lock()
+	for i := range l.items {
+		l.items[i].decision = w.router.Route(now, l.items[i].packet)
+	}
+	w.mu.Unlock()
+	for i := range l.items {
+		l.execute(&l.items[i])
+	}
+	if n := w.socket.Write(l.out); n > 0 {
+		w.counters.sendFailed.Inc(int64(n))
+	}
+}
+
+func (l *loop) execute(it *item) {
+	w, d := l.forwarder, it.decision
+	w.counters.reason(d.Verdict, d.Reason)
+	w.logDecision(it)
+	switch d.Verdict {
+	case bvtoken.VerdictForward:
+		l.out.Add(w.codec.AppendForward(l.out.Buffer(), it.raw, d), d.Address)
+	case bvtoken.VerdictReset:
+		l.out.Add(w.codec.AppendReset(l.out.Buffer(), it.packet.Tuple, d), w.callerAddress(it.packet.Tuple))
+	case bvtoken.VerdictDrop:
+	}
+}
--- /dev/null
+++ b/io/bvforwarder/state.go
@@ -0,0 +1,126 @@
+package bvforwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net/http"
+	"net/url"
+	"time"
+
+	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvtoken"
+	"balsamvane/io/bvadmin"
+	"balsamvane/io/bvfollower"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+// follow takes over what the follower has learned.
+func (w *Forwarder) follow(e bvfollower.Event) {
+	now := w.clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before := w.catalog.Version()
+	switch v := e.(type) {
+	case bvfollower.Listed:
+		w.catalog.Replace(now, v.Listing.Revision, v.Listing.Changes)
+		w.log.Info("catalog listed", zap.Int64("revision", int64(v.Listing.Revision)),
+			zap.Int("entries", len(v.Listing.Changes)))
+	case bvfollower.Changed:
+		if len(v.Listing.Changes) == 0 {
+			w.catalog.Answered(now)
+			return
+		}
+		w.catalog.Apply(now, v.Listing.Revision, v.Listing.Changes)
+		w.logChanges(v.Listing)
+	case bvfollower.Failed:
+		return
+	}
+	if after := w.catalog.Version(); after != before {
+		w.log.Info("configuration in force", zap.Uint64("version", after), zap.Int("routes", w.catalog.Routes()))
+	}
+}
+
+func (w *Forwarder) logChanges(l bvfollower.Listing) {
+	for _, c := range l.Changes {
+		at := zap.Int64("revision", int64(l.Revision))
+		switch v := c.(type) {
+		case bvcatalog.ZoneOut:
+			w.log.Info("zone taken out of service", zap.String("zone", v.Zone), at)
+		case bvcatalog.ZoneBack:
+			w.log.Info("zone back in service", zap.String("zone", v.Zone), at)
+		case bvcatalog.UpstreamPut:
+			u := v.Upstream
+			w.log.Info("upstream changed", zap.Uint64("upstream", uint64(u.ID)), zap.String("zone", u.Zone),
+				zap.Bool("draining", u.Draining), zap.Duration("coldFor", u.ColdFor), at)
+		case bvcatalog.UpstreamGone:
+			w.log.Info("upstream gone", zap.Uint64("upstream", uint64(v.ID)), at)
+		case bvcatalog.UpstreamUnreadable, bvcatalog.Declared:
+		}
+	}
+}
+
+// logDecision writes a line for a decision that a caller may ask about. Lines
+// of one kind are cut to a few in each period by the logger.
+func (w *Forwarder) logDecision(it *item) {
+	d, p := it.decision, it.packet
+	opening := p.Phase == bvflow.PhaseOpening
+	var message string
+	switch {
+	case d.Verdict == bvtoken.VerdictReset:
+		message = "flow reset"
+	case d.Verdict == bvtoken.VerdictDrop && opening:
+		message = "opening dropped"
+	case d.Verdict == bvtoken.VerdictDrop:
+		message = "packet dropped"
+	default:
+		return
+	}
+	w.log.Info(message, zap.Stringer("source", p.Source), zap.Stringer("destination", p.Destination),
+		zap.Uint32("token", uint32(p.Token)), zap.Stringer("reason", d.Reason))
+}
+
+// isReady reports whether the balancer should get packets.
+func (w *Forwarder) isReady() bool {
+	if w.stopping.Load() {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.catalog.Complete() && !w.router.Isolated(w.clock.Now())
+}
+
+// serveReady answers the readiness check until ctx ends.
+func (w *Forwarder) serveReady(ctx context.Context) error {
+	h := &http.Server{
+		ReadHeaderTimeout: 2 * time.Second,
+		// The default writes lines that are not JSON.
+		ErrorLog: log.New(io.Discard, "", 0),
+		Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			switch {
+			case r.URL.Path != w.options.ReadyPath:
+				rw.WriteHeader(http.StatusNotFound)
+			case !w.isReady():
+				rw.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
+	defer stop()
+	if err := h.Serve(w.ready); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "bvforwarder: serving readiness")
+	}
+	return nil
+}
+
+func (w *Forwarder) sources() bvadmin.Sources {
+	return bvadmin.Sources{
+		Dump:   func(url.Values) (any, error) { return w.dump(), nil },
+		Status: func() any { return w.status() },
+		Ready:  w.isReady,
+	}
+}
--- a/io/bvsettings/bvsettings.go
+++ b/io/bvsettings/bvsettings.go
@@ -41,14 +41,25 @@
 	Limits   Limits
 	Timeouts Timeouts
 	LogLevel string // debug, info, warn or error.
+	// Encapsulation is how callers' packets come: EncapsulationGeneve or
+	// EncapsulationToken. Settings of the other one are not used.
+	Encapsulation string
 }
 
+// The encapsulations of callers' packets.
+const (
+	EncapsulationGeneve = "geneve"
+	// EncapsulationToken is a header with a field that both ends return.
+	EncapsulationToken = "token"
+)
+
 // Listen are the addresses that a balancer listens on.
 type Listen struct {
 	Fabric  netip.AddrPort // UDP: Geneve from the fabric.
 	Peer    netip.AddrPort // UDP: handed-on packets and heartbeats.
 	Control netip.AddrPort // TCP: calls of peers.
 	Admin   netip.AddrPort // TCP: metrics, dump, status.
+	Ready   netip.AddrPort // TCP: the platform's readiness check.
 }
 
 // Fabric is what a balancer needs to know of the fabric.
@@ -85,6 +96,12 @@
 	Flows                 int // Entries of the flow table.
 	PacketQueue           int // Packets waiting for a decision.
 	ControlBytesPerSecond int
+	// ColdBalancers is the number of balancers that may send to one cold
+	// upstream at a time; each has an equal share of what that bears: the
+	// declared rate by ColdFactor, plus ColdSlack flows per second.
+	ColdBalancers int
+	ColdFactor    float64
+	ColdSlack     float64
 }
 
 // Timeouts are the times after which state is given up.
@@ -106,9 +123,13 @@
 			// About 1 ms of packets at a million a second.
 			PacketQueue:           1024,
 			ControlBytesPerSecond: 3000,
+			ColdBalancers:         4,
+			ColdFactor:            1,
+			ColdSlack:             0,
 		},
-		Timeouts: Timeouts{Idle: 2 * time.Hour, Opening: 65 * time.Second, Stop: 120 * time.Second},
-		LogLevel: "info",
+		Timeouts:      Timeouts{Idle: 2 * time.Hour, Opening: 65 * time.Second, Stop: 120 * time.Second},
+		LogLevel:      "info",
+		Encapsulation: EncapsulationGeneve,
 	}
 }
 
--- a/io/bvsettings/fields.go
+++ b/io/bvsettings/fields.go
@@ -13,23 +13,28 @@
 
 // field is one setting: its path in the file and its place in Settings.
 type field struct {
-	path     string
+	path string
+	// required fields have to be set, unless only names another encapsulation.
 	required bool
+	only     string
 	of       func(*Settings) any
 	check    func(*Settings) string // Returns what is wrong, or nothing.
 }
 
 const (
-	maxFlows = 1 << 26
-	maxQueue = 1 << 14 // Batches for 16,384 packets take 150 MB.
+	maxFlows  = 1 << 26
+	maxNumber = 1e9
+	maxQueue  = 1 << 14 // Batches for 16,384 packets take 150 MB.
 )
 
 var levels = []string{"debug", "info", "warn", "error"}
 
+var encapsulations = []string{EncapsulationGeneve, EncapsulationToken}
+
 var fields = []field{
 	{path: "node", required: true, of: func(s *Settings) any { return &s.Node }},
 	{path: "zone", required: true, of: func(s *Settings) any { return &s.Zone }},
-	{path: "group", required: true, of: func(s *Settings) any { return &s.Group }, check: func(s *Settings) string {
+	{path: "group", required: true, only: EncapsulationGeneve, of: func(s *Settings) any { return &s.Group }, check: func(s *Settings) string {
 		if strings.ContainsAny(s.Group, "/?#% ") {
 			return "group is part of the platform's keys and must not contain /, ?, #, % or spaces"
 		}
@@ -37,10 +42,11 @@
 	}},
 	{path: "seeds", of: func(s *Settings) any { return &s.Seeds }},
 	{path: "listen.fabric", required: true, of: func(s *Settings) any { return &s.Listen.Fabric }},
-	{path: "listen.peer", required: true, of: func(s *Settings) any { return &s.Listen.Peer }},
-	{path: "listen.control", required: true, of: func(s *Settings) any { return &s.Listen.Control }},
+	{path: "listen.peer", required: true, only: EncapsulationGeneve, of: func(s *Settings) any { return &s.Listen.Peer }},
+	{path: "listen.control", required: true, only: EncapsulationGeneve, of: func(s *Settings) any { return &s.Listen.Control }},
 	{path: "listen.admin", of: func(s *Settings) any { return &s.Listen.Admin }},
-	{path: "fabric.return", required: true, of: func(s *Settings) any { return &s.Fabric.Return }},
+	{path: "listen.ready", required: true, only: EncapsulationToken, of: func(s *Settings) any { return &s.Listen.Ready }},
+	{path: "fabric.return", required: true, only: EncapsulationGeneve, of: func(s *Settings) any { return &s.Fabric.Return }},
 	{path: "platform.addresses", required: true, of: func(s *Settings) any { return &s.Platform.Addresses }, check: func(s *Settings) string {
 		if len(s.Platform.Addresses) == 0 {
 			return "addresses is an empty list"
@@ -54,7 +60,7 @@
 		}
 		return ""
 	}},
-	{path: "keys.peer", required: true, of: func(s *Settings) any { return &s.Keys.Peer }},
+	{path: "keys.peer", required: true, only: EncapsulationGeneve, of: func(s *Settings) any { return &s.Keys.Peer }},
 	{path: "tls.certificate", of: func(s *Settings) any { return &s.TLS.Certificate }},
 	{path: "tls.key", of: func(s *Settings) any { return &s.TLS.Key }},
 	{path: "tls.authority", of: func(s *Settings) any { return &s.TLS.Authority }},
@@ -65,9 +71,18 @@
 		return atMost(s.Limits.PacketQueue, maxQueue)
 	}},
 	{path: "limits.controlBytesPerSecond", of: func(s *Settings) any { return &s.Limits.ControlBytesPerSecond }},
+	{path: "limits.coldBalancers", of: func(s *Settings) any { return &s.Limits.ColdBalancers }},
+	{path: "limits.coldFactor", of: func(s *Settings) any { return &s.Limits.ColdFactor }},
+	{path: "limits.coldSlack", of: func(s *Settings) any { return &s.Limits.ColdSlack }},
 	{path: "timeouts.idle", of: func(s *Settings) any { return &s.Timeouts.Idle }},
 	{path: "timeouts.opening", of: func(s *Settings) any { return &s.Timeouts.Opening }},
 	{path: "timeouts.stop", of: func(s *Settings) any { return &s.Timeouts.Stop }},
+	{path: "encapsulation", of: func(s *Settings) any { return &s.Encapsulation }, check: func(s *Settings) string {
+		if !slices.Contains(encapsulations, s.Encapsulation) {
+			return "encapsulation is none of " + strings.Join(encapsulations, ", ")
+		}
+		return ""
+	}},
 	{path: "log.level", of: func(s *Settings) any { return &s.LogLevel }, check: func(s *Settings) string {
 		if !slices.Contains(levels, s.LogLevel) {
 			return "level is none of " + strings.Join(levels, ", ")
@@ -98,6 +113,12 @@
 			return "value is not a whole number above 0", "write a number such as 1000"
 		}
 		*v = i
+	case *float64:
+		f, err := strconv.ParseFloat(n.Value, 64)
+		if n.Kind != yaml.ScalarNode || err != nil || !(f >= 0) || f > maxNumber {
+			return "value is not a number from 0", "write a number such as 1.5"
+		}
+		*v = f
 	case *time.Duration:
 		d, err := time.ParseDuration(n.Value)
 		if n.Kind != yaml.ScalarNode || err != nil || d <= 0 {
@@ -146,6 +167,8 @@
 		v.Value = *value
 	case *int:
 		v = &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!int", Value: strconv.Itoa(*value)}
+	case *float64:
+		v = &yaml.Node{Kind: yaml.ScalarNode, Tag: "!!float", Value: strconv.FormatFloat(*value, 'g', -1, 64)}
 	case *time.Duration:
 		v.Value = value.String()
 	case *netip.AddrPort:
--- a/io/bvsettings/parse.go
+++ b/io/bvsettings/parse.go
@@ -127,7 +127,8 @@
 // finish checks what concerns several settings.
 func (p *parser) finish() {
 	for _, f := range fields {
-		if f.required && p.seen[f.path] == nil {
+		unused := f.only != "" && f.only != p.settings.Encapsulation
+		if f.required && !unused && p.seen[f.path] == nil {
 			place := bvfinding.Place{File: p.file}
 			if group, _, nested := strings.Cut(f.path, "."); nested && p.seen[group] != nil {
 				place.Line, place.Column = p.seen[group].Line, p.seen[group].Column
