--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -92,8 +92,11 @@
 	// AnswerTimeout is how long an opening may wait for its answer without a
 	// repetition by the caller. 1.4 s.
 	AnswerTimeout time.Duration
-	// MaxPending bounds the openings that are remembered until they are
-	// answered. 4,096.
+	// RequestTimeout is how long a request may wait for its answer until it is
+	// no longer counted. 3 s.
+	RequestTimeout time.Duration
+	// MaxPending bounds the openings and the requests that are remembered
+	// until they are answered. 4,096 each.
 	MaxPending int
 	// ColdBalancers is the number of balancers that share the budget of a cold
 	// upstream. 1.
@@ -107,6 +110,7 @@
 func (o Options) withDefaults() Options {
 	o.FreshFor = cmp.Or(o.FreshFor, 2500*time.Millisecond)
 	o.AnswerTimeout = cmp.Or(o.AnswerTimeout, 1400*time.Millisecond)
+	o.RequestTimeout = cmp.Or(o.RequestTimeout, 3*time.Second)
 	o.MaxPending = cmp.Or(o.MaxPending, 4096)
 	o.ColdBalancers = cmp.Or(o.ColdBalancers, 1)
 	o.ColdFactor = cmp.Or(o.ColdFactor, 1)
@@ -117,11 +121,20 @@
 type target struct {
 	entry    *bvcatalog.Entry
 	load     load
+	signs    signs
 	inZone   bool
 	coldSeen time.Time // ColdUntil that the limiter was told.
 	tried    uint64    // Number of the placement that tried it last.
 }
 
+// serviceTargets are the upstreams of a service that may take new flows.
+type serviceTargets struct {
+	targets []*target
+	// usual is the mean latency of the service's requests; 0 if none was
+	// measured.
+	usual time.Duration
+}
+
 // Router decides for one balancer. It is not safe for concurrent use.
 type Router struct {
 	options    Options
@@ -131,8 +144,9 @@
 	generation uint64
 	built      bool
 	targets    map[bvconfig.UpstreamID]*target
-	services   map[string][]*target
+	services   map[string]*serviceTargets
 	pending    pending
+	requests   requests
 	placement  uint64
 	evidence   evidence
 }
@@ -145,7 +159,7 @@
 		options: o, catalog: c,
 		limiter: bvlimit.New(bvlimit.Options{EjectFraction: 1}),
 		hasher:  bvflow.NewHasher(o.Seed),
-		targets: map[bvconfig.UpstreamID]*target{}, services: map[string][]*target{},
-		pending: newPending(o.MaxPending),
+		targets: map[bvconfig.UpstreamID]*target{}, services: map[string]*serviceTargets{},
+		pending: newPending(o.MaxPending), requests: newRequests(o.MaxPending),
 	}
 }
--- a/core/bvtoken/dump.go
+++ b/core/bvtoken/dump.go
@@ -21,6 +21,8 @@
 	Cold     bool                `json:"cold"`
 	Silent   bool                `json:"silent"`
 	Load     float64             `json:"load"`
+	Open     int                 `json:"open"`
+	Latency  string              `json:"latency"`
 }
 
 // Dump returns what the router knows of the upstreams, by ID.
@@ -32,7 +34,7 @@
 		out = append(out, UpstreamDump{
 			ID: id, Token: uint32(e.Token), Service: e.Service, Zone: e.Zone, Address: e.Address,
 			Takes: e.Takes() && !r.catalog.ZoneOut(e.Zone), Draining: e.Draining, Cold: e.Cold(now),
-			Silent: r.limiter.Silent(id), Load: t.load.value(now),
+			Silent: r.limiter.Silent(id), Load: t.load.requests(now), Open: t.load.open, Latency: t.load.latency.String(),
 		})
 	}
 	slices.SortFunc(out, func(a, b UpstreamDump) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -20,26 +20,17 @@
 	}
 	route, ok := r.catalog.Route(p.Destination)
 	if !ok {
-		if r.catalog.Age(now) > r.options.FreshFor {
+		if !r.fresh(now) {
 			return Decision{Verdict: VerdictDrop, Reason: ReasonNoRoute}
 		}
 		return r.reset(p, ReasonNoRoute)
 	}
-	before, again := r.pending.openings[k]
-	if again && !before.judged {
-		r.unanswered(now, before.upstream)
-		before.judged = true
-		r.pending.openings[k] = before
-	}
-	var avoid bvconfig.UpstreamID
-	if again {
-		avoid = before.upstream
-	}
-	t, why := r.place(now, r.services[r.backend(k, route)], avoid)
+	avoid := r.repeated(now, k)
+	t, why := r.place(now, k, r.services[r.backend(k, route)], avoid)
 	if t == nil {
 		return r.reset(p, why)
 	}
-	if again || p.Copy > 0 {
+	if avoid != 0 && why == ReasonPlaced {
 		why = ReasonPlacedAgain
 	}
 	t.load.add(now, 1)
@@ -47,6 +38,24 @@
 	return forward(t.entry, why)
 }
 
+// repeated returns the upstream that did not answer the opening before, if
+// there was one, and counts that.
+func (r *Router) repeated(now time.Time, k bvflow.Key) bvconfig.UpstreamID {
+	o, ok := r.pending.openings[k]
+	if !ok {
+		return 0
+	}
+	if t := r.targets[o.upstream]; t != nil && !o.judged {
+		r.unanswered(now, t)
+	}
+	o.judged = true
+	r.pending.openings[k] = o
+	return o.upstream
+}
+
+// maxBackends bounds the services that share a route.
+const maxBackends = 16
+
 // backend chooses a route's service for a flow. All balancers choose the same.
 func (r *Router) backend(k bvflow.Key, route bvcatalog.Route) string {
 	if len(route.Backends) == 1 {
@@ -64,17 +73,16 @@
 	return route.Backends[i].Service
 }
 
-// maxBackends bounds the services that share a route.
-const maxBackends = 16
-
 // place returns the upstream for a new flow, or nil and the reason. It tries
-// the least loaded upstream first, those of the own zone before all others and
-// the one to avoid last.
-func (r *Router) place(now time.Time, ts []*target, avoid bvconfig.UpstreamID) (*target, Reason) {
+// upstreams in the order of their cost.
+func (r *Router) place(now time.Time, k bvflow.Key, s *serviceTargets, avoid bvconfig.UpstreamID) (*target, Reason) {
+	if s == nil {
+		return nil, ReasonNoUpstream
+	}
 	r.placement++
 	why := ReasonNoUpstream
 	for {
-		t := r.next(now, ts, avoid)
+		t := r.next(now, k, s, avoid)
 		if t == nil {
 			break
 		}
@@ -89,21 +97,21 @@
 			why = ReasonColdBudget
 		}
 	}
-	if t := r.lastResort(now, ts); t != nil {
+	if t := r.lastResort(now, s); t != nil {
 		return t, ReasonPlacedSilent
 	}
 	return nil, why
 }
 
 // next returns the best upstream that this placement has not tried.
-func (r *Router) next(now time.Time, ts []*target, avoid bvconfig.UpstreamID) *target {
+func (r *Router) next(now time.Time, k bvflow.Key, s *serviceTargets, avoid bvconfig.UpstreamID) *target {
 	var best *target
 	var least float64
-	for _, t := range ts {
+	for _, t := range s.targets {
 		if t.tried == r.placement {
 			continue
 		}
-		n := r.cost(now, t, avoid)
+		n := r.cost(now, k, s, t, avoid)
 		if best == nil || n < least {
 			best, least = t, n
 		}
@@ -111,37 +119,73 @@
 	return best
 }
 
-// The weights that order upstreams: a farther zone counts more than any load,
-// and the upstream to avoid more than that.
+// The weights of what makes an upstream cost more. The unit is the time that a
+// request usually takes on a free upstream.
 const (
-	fartherCost = 1e6
-	avoidCost   = 1e9
-	coldFactor  = 1.6
+	// utilizationCost is for the part of the upstream's slots that this
+	// balancer's requests use.
+	utilizationCost = 2.0
+	// openCost is for each slot's worth of requests that wait for an answer.
+	openCost = 0.5
+	// latencyCost is for the latency above the usual one, after latencySlack,
+	// which covers the spread of the requests' own times.
+	latencyCost  = 2.0
+	latencySlack = 0.3
+	// fartherCost is for another zone: links between zones are dear and fail
+	// more often, so the own zone takes its load until it is clearly slower.
+	fartherCost = 0.8
+	// avoidCost puts the upstream that did not answer behind all others.
+	avoidCost = 1e9
+	// coldFactor is how much slower a cold upstream is.
+	coldFactor = 1.6
+	// tieCost breaks ties, differently for each flow.
+	tieCost = 0.01
 )
 
-func (r *Router) cost(now time.Time, t *target, avoid bvconfig.UpstreamID) float64 {
-	n := t.load.value(now) / float64(max(t.entry.Slots, 1))
+// assumedLatency stands for the usual latency until one is measured.
+const assumedLatency = 50 * time.Millisecond
+
+// cost estimates how long a request would take at an upstream, as far as this
+// balancer's own requests tell.
+func (r *Router) cost(now time.Time, k bvflow.Key, s *serviceTargets, t *target, avoid bvconfig.UpstreamID) float64 {
+	usual := s.usual
+	if usual == 0 {
+		usual = assumedLatency
+	}
+	slots := float64(max(t.entry.Slots, 1))
+	n := utilizationCost * t.load.requests(now) * usual.Seconds() / loadMemory.Seconds() / slots
+	n += openCost * float64(t.load.open) / slots
 	if t.entry.Cold(now) {
 		n *= coldFactor
 	}
+	if over := t.load.excess(now, usual) - latencySlack; over > 0 {
+		n += latencyCost * over
+	}
 	if !t.inZone {
 		n += fartherCost
 	}
 	if t.entry.ID == avoid {
 		n += avoidCost
 	}
-	return n
+	return n + tieCost*tie(k, t.entry.ID)
+}
+
+// tie returns a number in [0, 1) that is independent for each flow and
+// upstream.
+func tie(k bvflow.Key, u bvconfig.UpstreamID) float64 {
+	x := (k.High() ^ uint64(u)) * 0x9e3779b97f4a7c15
+	return float64(x>>40) / (1 << 24)
 }
 
 // lastResort returns an upstream that did not answer lately, if that is all
 // there is: a wrong suspicion of all must not end the service.
-func (r *Router) lastResort(now time.Time, ts []*target) *target {
+func (r *Router) lastResort(now time.Time, s *serviceTargets) *target {
 	var best *target
-	for _, t := range ts {
+	for _, t := range s.targets {
 		if !r.limiter.Silent(t.entry.ID) || t.entry.Cold(now) {
 			continue
 		}
-		if best == nil || t.load.value(now) < best.load.value(now) {
+		if best == nil || t.load.requests(now) < best.load.requests(now) {
 			best = t
 		}
 	}
--- a/core/bvtoken/reason.go
+++ b/core/bvtoken/reason.go
@@ -5,25 +5,26 @@
 
 // The reasons.
 const (
-	ReasonPlaced        Reason = iota // An opening at the preferred upstream.
-	ReasonPlacedFarther               // An opening in another zone.
-	ReasonPlacedAgain                 // A repeated opening at another upstream.
-	ReasonPlacedSilent                // An opening at an upstream that did not answer before, since all others are out.
-	ReasonToken                       // The token names the upstream.
-	ReasonIncomplete                  // The catalog is not complete yet.
-	ReasonNoRoute                     // No route has the address.
-	ReasonNoUpstream                  // No upstream can take the flow.
-	ReasonColdBudget                  // All upstreams are cold and have their share of new flows.
-	ReasonUnknownToken                // No upstream has the token.
-	ReasonNoToken                     // A packet of an open flow without a token.
-	ReasonUpstreamGone                // The upstream has left.
-	ReasonMalformed                   // The packet cannot be read.
+	ReasonPlaced         Reason = iota // An opening at the preferred upstream.
+	ReasonPlacedFarther                // An opening in another zone.
+	ReasonPlacedAgain                  // A repeated opening at another upstream.
+	ReasonPlacedSilent                 // An opening at an upstream that did not answer before, since all others are out.
+	ReasonToken                        // The token names the upstream.
+	ReasonIncomplete                   // The catalog is not complete yet.
+	ReasonNoRoute                      // No route has the address.
+	ReasonNoUpstream                   // No upstream can take the flow.
+	ReasonColdBudget                   // All upstreams are cold and have their share of new flows.
+	ReasonUnknownToken                 // No upstream has the token.
+	ReasonNoToken                      // A packet of an open flow without a token.
+	ReasonUpstreamGone                 // The upstream has left.
+	ReasonUpstreamSilent               // The upstream does not acknowledge packets, while others do.
+	ReasonMalformed                    // The packet cannot be read.
 	numReasons
 )
 
 var reasonNames = [numReasons]string{
 	"placed", "placedFarther", "placedAgain", "placedSilent", "token", "incomplete", "noRoute", "noUpstream",
-	"coldBudget", "unknownToken", "noToken", "upstreamGone", "malformed",
+	"coldBudget", "unknownToken", "noToken", "upstreamGone", "upstreamSilent", "malformed",
 }
 
 // String returns the reason as a word in camel case.
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -25,30 +25,40 @@
 	if p.Token == 0 {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonNoToken}
 	}
-	fresh := r.catalog.Age(now) <= r.options.FreshFor
-	if _, ok := r.catalog.Route(p.Destination); !ok && fresh && r.catalog.Complete() {
+	route, ok := r.catalog.Route(p.Destination)
+	if !ok && r.fresh(now) {
 		return r.reset(p, ReasonNoRoute)
 	}
 	e := r.catalog.ByToken(p.Token)
 	if e == nil {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonUnknownToken}
 	}
-	r.answered(now, k, e.ID)
 	if e.Gone() {
 		return r.reset(p, ReasonUpstreamGone)
 	}
-	if t := r.targets[e.ID]; t != nil && p.Payload > 0 {
-		t.load.add(now, 1)
+	t := r.targets[e.ID]
+	r.learn(now, k, t, p)
+	if route.Idempotent && t.signs.dead() && r.evidence.lastAnswer.After(t.signs.first) {
+		// Others answer, so the upstream is at fault. The caller can repeat the
+		// request elsewhere, which is better than to wait until its deadline.
+		r.forget(k)
+		return r.reset(p, ReasonUpstreamSilent)
 	}
 	return forward(e, ReasonToken)
 }
 
+// fresh reports whether the catalog is recent enough to show that something
+// does not exist.
+func (r *Router) fresh(now time.Time) bool {
+	return r.catalog.Complete() && r.catalog.Age(now) <= r.options.FreshFor
+}
+
 func forward(e *bvcatalog.Entry, why Reason) Decision {
 	return Decision{Verdict: VerdictForward, Reason: why, Upstream: e.ID, Address: e.Address, Token: e.Token}
 }
 
-// reset answers the caller. A caller resets itself on no other sign that its
-// upstream is gone, and would wait until its deadline.
+// reset answers the caller. It learns in no other way that its upstream is
+// gone, and would wait until its deadline.
 func (r *Router) reset(p Packet, why Reason) Decision {
 	if p.Phase == bvflow.PhaseReset {
 		return Decision{Verdict: VerdictDrop, Reason: why}
@@ -56,36 +66,109 @@
 	return Decision{Verdict: VerdictReset, Reason: why, Sequence: p.Acknowledged}
 }
 
-// answered takes note that a caller goes on with a flow, which shows that the
-// upstream has answered its opening.
-func (r *Router) answered(now time.Time, k bvflow.Key, u bvconfig.UpstreamID) {
-	if len(r.pending.openings) == 0 {
+// learn takes note of what a packet of an open flow says about its upstream:
+// the caller goes on, so the opening was answered; it acknowledges data, so
+// the request was answered; it repeats data, so the upstream has not
+// acknowledged it.
+func (r *Router) learn(now time.Time, k bvflow.Key, t *target, p Packet) {
+	if _, ok := r.pending.openings[k]; ok {
+		delete(r.pending.openings, k)
+		r.alive(now, t)
+	}
+	if q, ok := r.requests.answered(k, p); ok && q.upstream == t.entry.ID {
+		r.answered(now, t, now.Sub(q.at))
+	}
+	if p.Phase != bvflow.PhaseEstablished {
+		if q, ok := r.requests.ended(k); ok {
+			r.release(q)
+		}
 		return
 	}
-	if _, ok := r.pending.openings[k]; !ok {
+	if p.Payload == 0 {
 		return
 	}
-	delete(r.pending.openings, k)
-	r.limiter.Answered(now, u)
-	r.evidence.answered()
+	starts, repeats, lost := r.requests.sent(now, k, t.entry.ID, p)
+	r.release(lost)
+	switch {
+	case starts:
+		t.load.add(now, 1)
+		t.load.open++
+	case repeats:
+		r.unanswered(now, t)
+	}
 }
 
-// expire counts openings that the callers gave up without a repetition.
+// alive takes note that an upstream has answered.
+func (r *Router) alive(now time.Time, t *target) {
+	t.signs.answered()
+	r.evidence.answered(now)
+	r.limiter.Answered(now, t.entry.ID)
+}
+
+// answered takes note of an answered request.
+func (r *Router) answered(now time.Time, t *target, latency time.Duration) {
+	r.alive(now, t)
+	t.load.open = max(t.load.open-1, 0)
+	t.load.measured(now, latency)
+	if s := r.services[t.entry.Service]; s != nil {
+		s.measured(latency)
+	}
+}
+
+// usualWeight is the weight of one measurement in the usual latency of a
+// service. It is far smaller than that of an upstream, so that the usual
+// latency follows the upstreams as a whole.
+const usualWeight = 0.01
+
+func (s *serviceTargets) measured(d time.Duration) {
+	if s.usual == 0 {
+		s.usual = d
+		return
+	}
+	s.usual += time.Duration(usualWeight * float64(d-s.usual))
+}
+
+// unanswered takes note that a caller has repeated a packet because the
+// upstream did not acknowledge it.
+func (r *Router) unanswered(now time.Time, t *target) {
+	t.signs.unanswered(now)
+	r.evidence.unanswered(now)
+	r.limiter.Unanswered(now, t.entry.ID)
+}
+
+// forget drops the request of a flow that is reset.
+func (r *Router) forget(k bvflow.Key) {
+	if q, ok := r.requests.ended(k); ok {
+		r.release(q)
+	}
+}
+
+// release stops counting a request that will not be measured.
+func (r *Router) release(q request) {
+	if t := r.targets[q.upstream]; t != nil {
+		t.load.open = max(t.load.open-1, 0)
+	}
+}
+
+// expire counts openings that the callers gave up without a repetition, and
+// requests that nobody waits for any more.
 func (r *Router) expire(now time.Time) {
 	for {
 		o, ok := r.pending.expired(now.Add(-r.options.AnswerTimeout))
 		if !ok {
-			return
+			break
 		}
-		if !o.judged {
-			r.unanswered(now, o.upstream)
+		if t := r.targets[o.upstream]; t != nil && !o.judged {
+			r.unanswered(now, t)
 		}
 	}
-}
-
-func (r *Router) unanswered(now time.Time, u bvconfig.UpstreamID) {
-	r.limiter.Unanswered(now, u)
-	r.evidence.missed(now)
+	for {
+		q, ok := r.requests.expired(now.Add(-r.options.RequestTimeout))
+		if !ok {
+			break
+		}
+		r.release(q)
+	}
 }
 
 // Isolated reports whether this balancer seems to reach no upstream, so that
@@ -98,11 +181,16 @@
 		return
 	}
 	r.built, r.generation = true, r.catalog.Generation()
-	old := r.targets
+	old, services := r.targets, r.services
 	r.targets = make(map[bvconfig.UpstreamID]*target, len(old))
-	r.services = make(map[string][]*target, len(r.services))
+	r.services = make(map[string]*serviceTargets, len(services))
 	var us []bvlimit.Upstream
 	for name, s := range r.catalog.Services() {
+		st := &serviceTargets{}
+		if before := services[name]; before != nil {
+			st.usual = before.usual
+		}
+		r.services[name] = st
 		for _, e := range s.Entries {
 			t := old[e.ID]
 			if t == nil {
@@ -112,7 +200,7 @@
 			r.targets[e.ID] = t
 			us = append(us, r.limits(s, e))
 			if e.Takes() && !r.catalog.ZoneOut(e.Zone) {
-				r.services[name] = append(r.services[name], t)
+				st.targets = append(st.targets, t)
 			}
 		}
 	}
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -91,6 +91,7 @@
 	stopping atomic.Bool
 	lastIn   atomic.Int64 // Nanoseconds since started at which packets came last.
 	started  time.Time
+	complete chan struct{} // Closed when the catalog is complete.
 }
 
 // New opens the sockets.
@@ -98,7 +99,7 @@
 	catalog := bvcatalog.New(bvcatalog.Options{})
 	w := &Forwarder{
 		settings: s, options: o.withDefaults(), clock: clock, log: log, metrics: m, codec: c, follower: f,
-		catalog: catalog, started: clock.Now(),
+		catalog: catalog, started: clock.Now(), complete: make(chan struct{}),
 		router: bvtoken.New(bvtoken.Options{
 			Zone: s.Zone, ColdBalancers: s.Limits.ColdBalancers,
 			ColdFactor: s.Limits.ColdFactor, ColdSlack: s.Limits.ColdSlack,
@@ -214,10 +215,17 @@
 	}
 }
 
-// forward reads packets until the socket is closed, decides and sends.
+// forward reads packets until the socket is closed, decides and sends. It
+// starts when the catalog is complete: until then packets wait in the socket's
+// buffer, since callers would repeat a dropped one only after some time.
 func (w *Forwarder) forward(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = w.socket.Close() })
 	defer stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-w.complete:
+	}
 	l := newLoop(w)
 	for {
 		if err := w.socket.Read(l.in); err != nil {
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -40,11 +40,24 @@
 	case bvfollower.Failed:
 		return
 	}
+	w.announce()
 	if after := w.catalog.Version(); after != before {
 		w.log.Info("configuration in force", zap.Uint64("version", after), zap.Int("routes", w.catalog.Routes()))
 	}
 }
 
+// announce lets the packet loop start when the catalog is complete. The caller
+// holds mu.
+func (w *Forwarder) announce() {
+	select {
+	case <-w.complete:
+	default:
+		if w.catalog.Complete() {
+			close(w.complete)
+		}
+	}
+}
+
 func (w *Forwarder) logChanges(l bvfollower.Listing) {
 	for _, c := range l.Changes {
 		at := zap.Int64("revision", int64(l.Revision))
