Follow the seeds instead of the store; take over changed settings

Change: io/bvrelay lets balancers follow a balancer's catalog; core/bvsource chooses the source by its answers and the age they give; the first listing comes from the store; SIGHUP and a changed settings file take over the seeds.

--- a/cmd/balsamvane/run.go
+++ b/cmd/balsamvane/run.go
@@ -8,11 +8,15 @@
 	"syscall"
 
 	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvfinding"
+	"balsamvane/core/bvflow"
 	"balsamvane/core/bvnode"
+	"balsamvane/core/bvpick"
 	"balsamvane/io/bvadmin"
 	"balsamvane/io/bvdaemon"
 	"balsamvane/io/bvfollower"
 	"balsamvane/io/bvforwarder"
+	"balsamvane/io/bvrelay"
 	"balsamvane/io/bvsettings"
 	"balsamvane/platform"
 
@@ -68,7 +72,7 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	b, err := newBalancer(s, clockwork.NewRealClock(), log)
+	b, err := newBalancer(path, s, clockwork.NewRealClock(), log)
 	if err != nil {
 		return err
 	}
@@ -79,10 +83,10 @@
 }
 
 // newBalancer returns the balancer for the encapsulation of the settings.
-func newBalancer(s bvsettings.Settings, clock clockwork.Clock, log *zap.Logger) (process, error) {
+func newBalancer(path string, s bvsettings.Settings, clock clockwork.Clock, log *zap.Logger) (process, error) {
 	switch s.Encapsulation {
 	case bvsettings.EncapsulationToken:
-		return newForwarder(s, clock, log)
+		return newForwarder(path, s, clock, log)
 	case bvsettings.EncapsulationGeneve:
 		return newDaemon(s, clock, log)
 	default:
@@ -92,12 +96,45 @@
 
 // newForwarder returns a balancer for packets with tokens, on the operators'
 // platform.
-func newForwarder(s bvsettings.Settings, clock clockwork.Clock, log *zap.Logger) (process, error) {
+func newForwarder(path string, s bvsettings.Settings, clock clockwork.Clock, log *zap.Logger) (process, error) {
 	metrics := bvadmin.NewMetrics()
 	calls := bvforwarder.CallCounter(metrics.Scope)
-	store := platform.NewStore(s.Platform.Addresses[0], log, calls)
-	follower := bvfollower.New(store, clock, log, bvfollower.Options{Seed: uint64(bvconfig.NodeIDOf(s.Node))})
-	return bvforwarder.New(s, clock, log, metrics, platform.Codec{}, follower, bvforwarder.Options{ReadyPath: platform.ReadyPath})
+	store := bvfollower.Source{Name: "store", Direct: true, Store: platform.NewStore(s.Platform.Addresses[0], log, calls)}
+	follower := bvfollower.New(sources(s, store), clock, log, bvfollower.Options{Seed: uint64(bvconfig.NodeIDOf(s.Node))})
+	return bvforwarder.New(s, clock, log, metrics, platform.Codec{}, follower, bvforwarder.Options{
+		ReadyPath: platform.ReadyPath,
+		Reload: bvforwarder.Reload{
+			Load:  func() (bvsettings.Settings, bvfinding.List) { return bvsettings.Load(path) },
+			Apply: func(s bvsettings.Settings) { follower.SetSources(sources(s, store)) },
+		},
+	})
+}
+
+// sources returns what the balancer follows. A seed reads the store and turns
+// to other seeds if that does not answer it; all others follow the seeds, in an
+// order of their own, and read the store if none answers.
+func sources(s bvsettings.Settings, store bvfollower.Source) []bvfollower.Source {
+	var peers []bvfollower.Source
+	var cs []bvpick.Candidate
+	isSeed := false
+	for _, a := range s.Seeds {
+		if a == s.Listen.Control {
+			isSeed = true
+			continue
+		}
+		peers = append(peers, bvfollower.Source{Name: a.String(), Store: bvrelay.NewClient(a)})
+		cs = append(cs, bvpick.Balancer(bvconfig.NodeIDOf(a.String())))
+	}
+	key := bvflow.NewHasher(0).Key(bvflow.Tuple{Source: s.Listen.Fabric})
+	order := make([]int, len(cs))
+	var ranked []bvfollower.Source
+	for _, i := range order[:bvpick.Rank(key, cs, order)] {
+		ranked = append(ranked, peers[i])
+	}
+	if isSeed {
+		return append([]bvfollower.Source{store}, ranked...)
+	}
+	return append(ranked, store)
 }
 
 // newDaemon returns a balancer for packets in Geneve.
--- a/core/bvcatalog/bvcatalog.go
+++ b/core/bvcatalog/bvcatalog.go
@@ -13,8 +13,8 @@
 // # Usage
 //
 //	c := bvcatalog.New(bvcatalog.Options{})
-//	c.Replace(now, listing.Revision, listing.Changes)
-//	c.Apply(now, update.Revision, update.Changes)
+//	c.Replace(now, 0, listing.Revision, listing.Changes)
+//	c.Apply(now, 0, update.Revision, update.Changes)
 //	if r, ok := c.Route(destination); ok {
 //		s := c.Service(r.Backends[0].Service)
 //	}
--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -69,6 +70,7 @@
 	contact    time.Time // Last answer of the platform.
 	settled    time.Time // End of the settle time after the last outage.
 	generation uint64
+	history    history
 }
 
 // New returns an empty catalog.
@@ -112,6 +114,13 @@
 // Services returns all services by name.
 func (c *Catalog) Services() map[string]*Service { return c.services }
 
+// Limits returns the limits of all services, by name.
+func (c *Catalog) Limits() []ServiceLimits {
+	out := slices.Collect(maps.Values(c.limits))
+	slices.SortFunc(out, func(a, b ServiceLimits) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // ZoneOut reports whether a zone is out of service.
 func (c *Catalog) ZoneOut(zone string) bool { return c.zonesOut[zone] }
 
@@ -129,18 +138,23 @@
 // after it has gone, or nil.
 func (c *Catalog) ByToken(t Token) *Entry { return c.tokens[t] }
 
-// Answered takes note of an answer of the platform that reports no change.
-func (c *Catalog) Answered(now time.Time) {
-	if c.listed && c.Age(now) > c.options.OutageAfter {
+// Answered takes note that the catalog was complete age ago: the platform
+// answered then, perhaps to another balancer.
+func (c *Catalog) Answered(now time.Time, age time.Duration) {
+	at := now.Add(-age)
+	if !at.After(c.contact) {
+		return
+	}
+	if c.listed && at.Sub(c.contact) > c.options.OutageAfter {
 		c.settled = now.Add(c.options.Settle)
 	}
-	c.contact = now
+	c.contact = at
 }
 
 // Replace takes a listing of all entries. Entries that it lacks are removed,
 // except for those changed after its revision.
-func (c *Catalog) Replace(now time.Time, r Revision, cs []Change) {
-	c.Answered(now)
+func (c *Catalog) Replace(now time.Time, age time.Duration, r Revision, cs []Change) {
+	c.Answered(now, age)
 	listed := make(map[bvconfig.UpstreamID]bool, len(cs))
 	zones := map[string]bool{}
 	for _, ch := range cs {
@@ -164,16 +178,22 @@
 	}
 	c.revision = max(c.revision, r)
 	c.listed = true
+	c.history.reset(c.revision)
 	c.rebuild()
 }
 
 // Apply takes changes in the order of their revisions, up to revision r.
-func (c *Catalog) Apply(now time.Time, r Revision, cs []Change) {
-	c.Answered(now)
+func (c *Catalog) Apply(now time.Time, age time.Duration, r Revision, cs []Change) {
+	c.Answered(now, age)
+	if len(cs) == 0 {
+		c.revision = max(c.revision, r)
+		return
+	}
 	for _, ch := range cs {
 		c.change(now, ch)
 	}
 	c.revision = max(c.revision, r)
+	c.history.append(r, cs)
 	c.rebuild()
 }
 
--- /dev/null
+++ b/core/bvcatalog/history.go
@@ -0,0 +1,80 @@
+package bvcatalog
+
+import (
+	"slices"
+	"time"
+)
+
+// maxHistory bounds the changes that are kept for followers of this balancer.
+// One that lacks more lists everything.
+const maxHistory = 4096
+
+// answered are the changes of one answer of the platform.
+type answered struct {
+	revision Revision // Up to which the answer was complete.
+	changes  []Change
+}
+
+// history holds the last changes, so that others can follow this catalog as
+// this one follows the platform.
+type history struct {
+	start   Revision // The changes after start are held.
+	answers []answered
+	size    int
+}
+
+// reset forgets all changes up to a revision.
+func (h *history) reset(r Revision) { *h = history{start: r} }
+
+func (h *history) append(r Revision, cs []Change) {
+	if len(cs) == 0 {
+		return
+	}
+	h.answers = append(h.answers, answered{r, cs})
+	h.size += len(cs)
+	for h.size > maxHistory && len(h.answers) > 1 {
+		h.start = h.answers[0].revision
+		h.size -= len(h.answers[0].changes)
+		h.answers = slices.Delete(h.answers, 0, 1)
+	}
+}
+
+// Since returns the changes after a revision, in their order; ok is false if
+// they are not held.
+func (c *Catalog) Since(after Revision) (cs []Change, ok bool) {
+	if !c.listed || after < c.history.start {
+		return nil, false
+	}
+	for _, a := range c.history.answers {
+		if a.revision > after {
+			cs = append(cs, a.changes...)
+		}
+	}
+	return cs, true
+}
+
+// All returns the changes that lead from an empty catalog to this one. Entries
+// that may have expired are left out.
+func (c *Catalog) All(now time.Time) []Change {
+	var cs []Change
+	if c.declared {
+		d := Declared{Version: c.version, Services: c.Limits()}
+		for _, r := range c.routes {
+			d.Routes = append(d.Routes, r)
+		}
+		cs = append(cs, d)
+	}
+	for _, z := range c.ZonesOut() {
+		cs = append(cs, ZoneOut{Zone: z})
+	}
+	for _, id := range sortedIDs(c.entries) {
+		e := c.entries[id]
+		if e.gone || e.missing || e.unusable {
+			continue
+		}
+		u := e.Upstream
+		u.ColdFor = max(e.ColdUntil.Sub(now), 0)
+		cs = append(cs, UpstreamPut{Revision: e.revision, Upstream: u})
+	}
+	return cs
+}
--- /dev/null
+++ b/core/bvsource/bvsource.go
@@ -0,0 +1,112 @@
+// Package bvsource chooses where a balancer reads the platform's state from.
+//
+// A few balancers, the seeds, read the platform's store; all others follow a
+// seed. So the calls to the store do not grow with the fleet. Nobody is
+// elected: each balancer goes through its own list of sources, and takes the
+// first one that answers with a state that is recent enough. The store is in
+// every list, so a balancer that reaches no other goes on by itself.
+//
+// The first listing after a start comes from the store if that answers. When
+// many balancers start together, their seeds know nothing yet or are still
+// down, and the time until a balancer knows its upstreams is an outage.
+//
+// A source that fails is left out for a delay that doubles up to a bound. When
+// the delay has passed it is tried again, also if a later source still answers.
+//
+// The package does no I/O and reads no clock.
+//
+// # Usage
+//
+//	l := bvsource.New(len(sources), len(sources)-1, bvsource.Options{Seed: seed})
+//	i, wait := l.Next(now, false)
+//	if wait == 0 {
+//		age, err := read(sources[i])
+//		if err != nil || !l.Recent(age) {
+//			l.Failed(now, i)
+//		} else {
+//			l.Answered(i)
+//		}
+//	}
+package bvsource
+
+import (
+	"cmp"
+	"time"
+
+	"balsamvane/core/bvretry"
+)
+
+// Options are the constants of the rules; zero values select the defaults.
+type Options struct {
+	// MaxAge is the age of a source's state from which another source is
+	// tried. It is above the wait and margin of a watch of the store. 2.2 s.
+	MaxAge time.Duration
+	// FirstDelay and MostDelay bound how long a failed source is left out.
+	// 100 ms and 2 s.
+	FirstDelay time.Duration
+	MostDelay  time.Duration
+	Seed       uint64 // Of the jitter.
+}
+
+func (o Options) withDefaults() Options {
+	o.MaxAge = cmp.Or(o.MaxAge, 2200*time.Millisecond)
+	o.FirstDelay = cmp.Or(o.FirstDelay, 100*time.Millisecond)
+	o.MostDelay = cmp.Or(o.MostDelay, 2*time.Second)
+	return o
+}
+
+// source is what is known of one source.
+type source struct {
+	backoff *bvretry.Backoff
+	until   time.Time // It is left out until then.
+}
+
+// List holds the sources in the order of preference. It is not safe for
+// concurrent use.
+type List struct {
+	options Options
+	store   int
+	sources []source
+}
+
+// New returns a list of n sources, the first one preferred. The store has the
+// index store.
+func New(n, store int, o Options) *List {
+	l := &List{options: o.withDefaults(), store: store, sources: make([]source, n)}
+	for i := range l.sources {
+		l.sources[i].backoff = bvretry.NewBackoff(l.options.FirstDelay, l.options.MostDelay, o.Seed+uint64(i))
+	}
+	return l
+}
+
+// Next returns the source to read from, or how long to wait until there is one
+// again. The store comes first for the first listing.
+func (l *List) Next(now time.Time, first bool) (i int, wait time.Duration) {
+	if first && !now.Before(l.sources[l.store].until) {
+		return l.store, 0
+	}
+	soonest := 0
+	for i, s := range l.sources {
+		if !now.Before(s.until) {
+			return i, 0
+		}
+		if s.until.Before(l.sources[soonest].until) {
+			soonest = i
+		}
+	}
+	return soonest, l.sources[soonest].until.Sub(now)
+}
+
+// Recent reports whether a state of that age may be used.
+func (l *List) Recent(age time.Duration) bool { return age <= l.options.MaxAge }
+
+// Failed leaves a source out for some time.
+func (l *List) Failed(now time.Time, i int) {
+	l.sources[i].until = now.Add(l.sources[i].backoff.Next())
+}
+
+// Answered takes note that a source is well.
+func (l *List) Answered(i int) {
+	l.sources[i].backoff.Reset()
+	l.sources[i].until = time.Time{}
+}
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -87,7 +87,7 @@
 	// Seed is the seed of the flow hash.
 	Seed uint64
 	// FreshFor is the age of the catalog up to which a missing route or
-	// upstream shows that there is none. 2.5 s.
+	// upstream shows that there is none. 2.8 s.
 	FreshFor time.Duration
 	// AnswerTimeout is how long an opening may wait for its answer without a
 	// repetition by the caller. 1.4 s.
@@ -108,7 +108,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.FreshFor = cmp.Or(o.FreshFor, 2500*time.Millisecond)
+	o.FreshFor = cmp.Or(o.FreshFor, 2800*time.Millisecond)
 	o.AnswerTimeout = cmp.Or(o.AnswerTimeout, 1400*time.Millisecond)
 	o.RequestTimeout = cmp.Or(o.RequestTimeout, 3*time.Second)
 	o.MaxPending = cmp.Or(o.MaxPending, 4096)
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -133,7 +133,7 @@
 	latencySlack = 0.3
 	// fartherCost is for another zone: links between zones are dear and fail
 	// more often, so the own zone takes its load until it is clearly slower.
-	fartherCost = 0.8
+	fartherCost = 1.5
 	// avoidCost puts the upstream that did not answer behind all others.
 	avoidCost = 1e9
 	// coldFactor is how much slower a cold upstream is.
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -1,16 +1,17 @@
-// Package bvfollower keeps a catalog up to date from a platform whose store
-// can be listed and watched.
+// Package bvfollower keeps a catalog up to date from sources that can be
+// listed and watched: the platform's store, or other balancers that follow it.
 //
 // A watch is a call that waits for changes. It may go silent for good, miss
 // its answer or be refused. The follower asks for short waits and bounds each
 // call from outside, so the age of the catalog stays within the wait and the
-// margin as long as the store answers new connections. After a failure it goes
-// on from the revision that it has, on a new connection; it lists all entries
-// again only if the store has forgotten that part of its history.
+// margin as long as a source answers new connections. After a failure it goes
+// on from the revision that it has, on a new connection or at the next source;
+// it lists all entries again only if the source has forgotten that part of the
+// history.
 //
 // # Usage
 //
-//	f := bvfollower.New(store, clock, log, bvfollower.Options{})
+//	f := bvfollower.New(sources, clock, log, bvfollower.Options{})
 //	err := f.Run(ctx, func(e bvfollower.Event) { apply(e) })
 package bvfollower
 
@@ -18,55 +19,71 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"time"
 
 	"balsamvane/core/bvcatalog"
-	"balsamvane/core/bvretry"
+	"balsamvane/core/bvsource"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 )
 
-// ErrCompacted is returned by a watch whose start is no longer in the store's
+// ErrCompacted is returned by a watch whose start is no longer in the source's
 // history.
 var ErrCompacted = errors.New("bvfollower: history is no longer available")
 
-// Listing holds all entries of the store, or the changes up to a revision.
+// errOld is a failure of a source that has lost its own source.
+var errOld = errors.New("bvfollower: source has not heard of the store for too long")
+
+// Listing holds all entries, or the changes up to a revision.
 type Listing struct {
 	Revision bvcatalog.Revision
 	Changes  []bvcatalog.Change
+	// Age is how long ago the store answered that this is complete.
+	Age time.Duration
 }
 
-// Store is the platform's store. Its calls end with their context. After
-// [Store.Disconnect] calls use new connections.
+// Store is something to follow. Its calls end with their context. After
+// Disconnect calls use new connections.
 type Store interface {
 	List(ctx context.Context) (Listing, error)
 	Watch(ctx context.Context, after bvcatalog.Revision, wait time.Duration) (Listing, error)
 	Disconnect()
 }
 
+// Source is a store with the name that log lines use.
+type Source struct {
+	Name  string
+	Store Store
+	// Wait is the wait that a watch asks for; 1.5 s. A source that is cheap to
+	// ask may have a shorter one.
+	Wait time.Duration
+	// Direct is true for the platform's store.
+	Direct bool
+}
+
 // Options bound the calls; zero values select the defaults.
 type Options struct {
 	ListTimeout time.Duration // 1 s.
-	WatchWait   time.Duration // The wait that a watch asks for; 1.5 s.
-	// WatchMargin is how much longer than WatchWait a watch may be silent
+	// WatchMargin is how much longer than its wait a watch may be silent
 	// before its connection is given up; 500 ms.
 	WatchMargin time.Duration
 	// Pause is the time between an answer with changes and the next watch, so
 	// that changes in quick succession come in one answer; 300 ms.
-	Pause      time.Duration
-	FirstDelay time.Duration // First delay after a failure; 50 ms.
-	MostDelay  time.Duration // Longest delay after a failure; 800 ms.
-	Seed       uint64        // Of the jitter.
+	Pause time.Duration
+	Seed  uint64 // Of the jitter.
 }
 
+// defaultWait is the wait of a source that sets none.
+const defaultWait = 1500 * time.Millisecond
+
 func (o Options) withDefaults() Options {
 	o.ListTimeout = cmp.Or(o.ListTimeout, time.Second)
-	o.WatchWait = cmp.Or(o.WatchWait, 1500*time.Millisecond)
 	o.WatchMargin = cmp.Or(o.WatchMargin, 500*time.Millisecond)
 	o.Pause = cmp.Or(o.Pause, 300*time.Millisecond)
-	o.FirstDelay = cmp.Or(o.FirstDelay, 50*time.Millisecond)
-	o.MostDelay = cmp.Or(o.MostDelay, 800*time.Millisecond)
 	return o
 }
 
@@ -79,108 +96,142 @@
 // Changed are the changes since the last event, possibly none.
 type Changed struct{ Listing Listing }
 
-// Failed is a call that failed.
-type Failed struct{ Err error }
-
 func (Listed) event()  {}
 func (Changed) event() {}
-func (Failed) event()  {}
 
-// Follower follows one store.
+// Follower follows the first of its sources that is well.
 type Follower struct {
-	store   Store
+	sources []Source
+	list    *bvsource.List
 	clock   clockwork.Clock
 	log     *zap.Logger
 	options Options
 
+	mu   sync.Mutex
+	next []Source // Sources to take over; nil if none have been set.
+
+	started  bool // A first listing was read.
 	listed   bool
 	revision bvcatalog.Revision
-	lostAt   time.Time // Zero while the store answers.
+	current  int // Source of the last answer; -1 if there was none.
+}
+
+// New returns a follower of the sources, the first one preferred.
+func New(sources []Source, clock clockwork.Clock, log *zap.Logger, o Options) *Follower {
+	f := &Follower{clock: clock, log: log, options: o.withDefaults()}
+	f.use(sources)
+	return f
+}
+
+func (f *Follower) use(sources []Source) {
+	store := max(slices.IndexFunc(sources, func(s Source) bool { return s.Direct }), 0)
+	f.sources, f.current = sources, -1
+	f.list = bvsource.New(len(sources), store, bvsource.Options{Seed: f.options.Seed})
+}
+
+// SetSources replaces the sources after the call in progress.
+func (f *Follower) SetSources(sources []Source) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = sources
 }
 
-// New returns a follower that has not listed anything yet.
-func New(s Store, clock clockwork.Clock, log *zap.Logger, o Options) *Follower {
-	return &Follower{store: s, clock: clock, log: log, options: o.withDefaults()}
+// takeSources takes over sources that were set meanwhile.
+func (f *Follower) takeSources() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.next == nil {
+		return
+	}
+	for _, s := range f.sources {
+		s.Store.Disconnect()
+	}
+	f.use(f.next)
+	f.next = nil
 }
 
-// Run follows the store until ctx ends and reports to sink. It returns the
+// Run follows the sources until ctx ends and reports to sink. It returns the
 // error of ctx.
 func (f *Follower) Run(ctx context.Context, sink func(Event)) error {
-	backoff := bvretry.NewBackoff(f.options.FirstDelay, f.options.MostDelay, f.options.Seed)
 	for ctx.Err() == nil {
-		changes, err := f.step(ctx, sink)
+		f.takeSources()
+		i, wait := f.list.Next(f.clock.Now(), !f.started)
+		if wait > 0 {
+			f.sleep(ctx, wait)
+			continue
+		}
+		l, err := f.step(ctx, f.sources[i], sink)
 		if ctx.Err() != nil {
 			break
 		}
-		pause := time.Duration(0)
-		switch {
-		case err != nil:
-			f.failed(err)
-			sink(Failed{Err: err})
-			pause = backoff.Next()
-		case changes > 0:
-			f.answered()
-			backoff.Reset()
-			pause = f.options.Pause
-		default:
-			f.answered()
-			backoff.Reset()
+		if err != nil {
+			f.failed(i, err)
+			continue
+		}
+		f.answered(i)
+		if len(l.Changes) > 0 {
+			f.sleep(ctx, f.options.Pause)
 		}
-		f.sleep(ctx, pause)
 	}
 	return ctx.Err()
 }
 
-// step makes one call and returns the number of changes.
-func (f *Follower) step(ctx context.Context, sink func(Event)) (int, error) {
+// step makes one call.
+func (f *Follower) step(ctx context.Context, s Source, sink func(Event)) (Listing, error) {
 	if !f.listed {
-		l, err := f.call(ctx, f.options.ListTimeout, f.store.List)
+		l, err := f.call(ctx, f.options.ListTimeout, s.Store.List)
 		if err != nil {
-			return 0, err
+			return l, err
 		}
-		f.listed, f.revision = true, l.Revision
+		f.listed, f.started, f.revision = true, true, l.Revision
 		sink(Listed{Listing: l})
-		return 0, nil
+		return Listing{}, nil
 	}
-	l, err := f.call(ctx, f.options.WatchWait+f.options.WatchMargin, func(ctx context.Context) (Listing, error) {
-		return f.store.Watch(ctx, f.revision, f.options.WatchWait)
+	wait := cmp.Or(s.Wait, defaultWait)
+	l, err := f.call(ctx, wait+f.options.WatchMargin, func(ctx context.Context) (Listing, error) {
+		return s.Store.Watch(ctx, f.revision, wait)
 	})
 	if errors.Is(err, ErrCompacted) {
-		f.log.Info("store has forgotten the history since the last answer; listing again",
-			zap.Int64("revision", int64(f.revision)))
+		f.log.Info("source has forgotten the history since the last answer; listing again",
+			zap.String("source", s.Name), zap.Int64("revision", int64(f.revision)))
 		f.listed = false
-		return 0, nil
+		return l, nil
 	}
 	if err != nil {
-		return 0, err
+		return l, err
 	}
 	f.revision = max(f.revision, l.Revision)
 	sink(Changed{Listing: l})
-	return len(l.Changes), nil
+	return l, nil
 }
 
+// call makes a bounded call. An answer that is too old is a failure, but a
+// listing is used whatever its age: it is better than none.
 func (f *Follower) call(ctx context.Context, limit time.Duration, do func(context.Context) (Listing, error)) (Listing, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, f.clock, limit)
 	defer cancel()
-	return do(ctx)
+	l, err := do(ctx)
+	if err == nil && f.listed && !f.list.Recent(l.Age) {
+		return l, eris.Wrapf(errOld, "age %s", l.Age)
+	}
+	return l, err
 }
 
 // failed gives up the connection, which may be silent for good.
-func (f *Follower) failed(err error) {
-	f.store.Disconnect()
-	if f.lostAt.IsZero() {
-		f.lostAt = f.clock.Now()
-		f.log.Warn("store does not answer", zap.Error(err), zap.Int64("revision", int64(f.revision)))
-	}
+func (f *Follower) failed(i int, err error) {
+	s := f.sources[i]
+	s.Store.Disconnect()
+	f.list.Failed(f.clock.Now(), i)
+	f.log.Warn("source does not answer", zap.String("source", s.Name), zap.String("error", err.Error()),
+		zap.Int64("revision", int64(f.revision)))
 }
 
-func (f *Follower) answered() {
-	if f.lostAt.IsZero() {
-		return
+func (f *Follower) answered(i int) {
+	f.list.Answered(i)
+	if f.current != i {
+		f.log.Info("following source", zap.String("source", f.sources[i].Name), zap.Int64("revision", int64(f.revision)))
+		f.current = i
 	}
-	f.log.Info("store answers again", zap.Duration("after", f.clock.Since(f.lostAt)),
-		zap.Int64("revision", int64(f.revision)))
-	f.lostAt = time.Time{}
 }
 
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -35,6 +35,7 @@
 	"balsamvane/core/bvtoken"
 	"balsamvane/io/bvadmin"
 	"balsamvane/io/bvfollower"
+	"balsamvane/io/bvrelay"
 	"balsamvane/io/bvsettings"
 	"balsamvane/io/bvtunnel"
 
@@ -61,6 +62,8 @@
 	QuietFor time.Duration
 	// TickInterval is the time between two looks at what ends by itself. 250 ms.
 	TickInterval time.Duration
+	// Reload takes over changed settings; without it they are read only once.
+	Reload Reload
 }
 
 func (o Options) withDefaults() Options {
@@ -73,6 +76,7 @@
 // Forwarder is one balancer process.
 type Forwarder struct {
 	settings bvsettings.Settings
+	latest   bvsettings.Settings // As read last; used by watchSettings only.
 	options  Options
 	clock    clockwork.Clock
 	log      *zap.Logger
@@ -88,18 +92,20 @@
 	socket   *bvtunnel.Socket
 	ready    net.Listener
 	admin    net.Listener
+	control  net.Listener // Nil if no balancer may follow this one.
 	stopping atomic.Bool
 	lastIn   atomic.Int64 // Nanoseconds since started at which packets came last.
 	started  time.Time
 	complete chan struct{} // Closed when the catalog is complete.
+	changed  chan struct{} // Closed at the next change of the catalog; guarded by mu.
 }
 
 // New opens the sockets.
 func New(s bvsettings.Settings, clock clockwork.Clock, log *zap.Logger, m *bvadmin.Metrics, c Codec, f *bvfollower.Follower, o Options) (*Forwarder, error) {
 	catalog := bvcatalog.New(bvcatalog.Options{})
 	w := &Forwarder{
-		settings: s, options: o.withDefaults(), clock: clock, log: log, metrics: m, codec: c, follower: f,
-		catalog: catalog, started: clock.Now(), complete: make(chan struct{}),
+		settings: s, latest: s, options: o.withDefaults(), clock: clock, log: log, metrics: m, codec: c, follower: f,
+		catalog: catalog, started: clock.Now(), complete: make(chan struct{}), changed: make(chan struct{}),
 		router: bvtoken.New(bvtoken.Options{
 			Zone: s.Zone, ColdBalancers: s.Limits.ColdBalancers,
 			ColdFactor: s.Limits.ColdFactor, ColdSlack: s.Limits.ColdSlack,
@@ -123,15 +129,20 @@
 	if w.ready, err = l.Listen(ctx, "tcp", w.settings.Listen.Ready.String()); err != nil {
 		return eris.Wrap(err, "bvforwarder: listening for readiness checks")
 	}
-	w.admin, err = l.Listen(ctx, "tcp", w.settings.Listen.Admin.String())
-	return eris.Wrap(err, "bvforwarder: listening for admin requests")
+	if w.admin, err = l.Listen(ctx, "tcp", w.settings.Listen.Admin.String()); err != nil {
+		return eris.Wrap(err, "bvforwarder: listening for admin requests")
+	}
+	if a := w.settings.Listen.Control; a.IsValid() {
+		w.control, err = l.Listen(ctx, "tcp", a.String())
+	}
+	return eris.Wrap(err, "bvforwarder: listening for followers")
 }
 
 func (w *Forwarder) close() {
 	if w.socket != nil {
 		_ = w.socket.Close()
 	}
-	for _, l := range []net.Listener{w.ready, w.admin} {
+	for _, l := range []net.Listener{w.ready, w.admin, w.control} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -150,8 +161,12 @@
 		return ignoreEnd(ctx, w.follower.Run(ctx, w.follow))
 	})
 	p.Go(w.tick)
+	p.Go(w.watchSettings)
 	p.Go(func(ctx context.Context) error { return w.serveReady(ctx) })
 	p.Go(func(ctx context.Context) error { return bvadmin.New(w.metrics, w.sources()).Serve(ctx, w.admin) })
+	if w.control != nil {
+		p.Go(func(ctx context.Context) error { return bvrelay.NewServer(provider{w}, w.clock).Serve(ctx, w.control) })
+	}
 	p.Go(func(work context.Context) error {
 		w.awaitStop(ctx, work)
 		cancel()
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -27,22 +27,24 @@
 	before := w.catalog.Version()
 	switch v := e.(type) {
 	case bvfollower.Listed:
-		w.catalog.Replace(now, v.Listing.Revision, v.Listing.Changes)
-		w.log.Info("catalog listed", zap.Int64("revision", int64(v.Listing.Revision)),
-			zap.Int("entries", len(v.Listing.Changes)))
+		l := v.Listing
+		w.catalog.Replace(now, l.Age, l.Revision, l.Changes)
+		w.log.Info("catalog listed", zap.Int64("revision", int64(l.Revision)), zap.Duration("age", l.Age),
+			zap.Int("entries", len(l.Changes)))
 	case bvfollower.Changed:
-		if len(v.Listing.Changes) == 0 {
-			w.catalog.Answered(now)
+		l := v.Listing
+		w.catalog.Apply(now, l.Age, l.Revision, l.Changes)
+		if len(l.Changes) == 0 {
 			return
 		}
-		w.catalog.Apply(now, v.Listing.Revision, v.Listing.Changes)
-		w.logChanges(v.Listing)
-	case bvfollower.Failed:
-		return
+		w.logChanges(l)
 	}
+	close(w.changed)
+	w.changed = make(chan struct{})
 	w.announce()
 	if after := w.catalog.Version(); after != before {
-		w.log.Info("configuration in force", zap.Uint64("version", after), zap.Int("routes", w.catalog.Routes()))
+		w.log.Info("configuration in force", zap.Uint64("version", after), zap.Int("routes", w.catalog.Routes()),
+			zap.Any("services", w.catalog.Limits()))
 	}
 }
 
--- a/io/bvpeer/bvpeer.go
+++ b/io/bvpeer/bvpeer.go
@@ -23,9 +23,6 @@
 	"balsamvane/core/bvnode"
 	"balsamvane/core/bvroute"
 	"balsamvane/io/bvplatform"
-
-	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
 )
 
 const (
@@ -59,37 +56,6 @@
 	Base(revision uint64) (b bvplatform.Bundle, age time.Duration, ok bool)
 }
 
-// codec encodes messages as CBOR.
-type codec struct {
-	decoding cbor.DecMode
-}
-
-func newCodec() codec {
-	m, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-		TagsMd:           cbor.TagsForbidden,
-		MaxArrayElements: 65536,
-		MaxMapPairs:      1024,
-		MaxNestedLevels:  8,
-	}.DecMode()
-	if err != nil {
-		panic(err) // The options are constant.
-	}
-	return codec{decoding: m}
-}
-
-// Name implements connect.Codec.
-func (codec) Name() string { return "cbor" }
-
-// Marshal implements connect.Codec.
-func (codec) Marshal(v any) ([]byte, error) { return cbor.Marshal(v) }
-
-// Unmarshal implements connect.Codec.
-func (c codec) Unmarshal(b []byte, v any) error {
-	return eris.Wrap(c.decoding.Unmarshal(b, v), "bvpeer: decoding message")
-}
-
 // recordSize is the size of a record on the wire: key and upstream.
 const recordSize = 24
 
--- a/io/bvpeer/bvpeer_test.go
+++ b/io/bvpeer/bvpeer_test.go
@@ -25,6 +25,7 @@
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvnode"
 	"balsamvane/core/bvroute"
+	"balsamvane/io/bvcodec"
 	"balsamvane/io/bvplatform"
 	"balsamvane/io/bvtunnel"
 
@@ -312,7 +313,7 @@
 func FuzzDecodeMessage(f *testing.F) {
 	f.Add([]byte{0xa1, 0x01, 0x05})
 	f.Fuzz(func(_ *testing.T, b []byte) {
-		c := newCodec()
+		c := bvcodec.New()
 		_ = c.Unmarshal(b, &syncRequest{})
 		_ = c.Unmarshal(b, &syncAnswer{})
 		_ = c.Unmarshal(b, &pushRequest{})
--- a/io/bvpeer/client.go
+++ b/io/bvpeer/client.go
@@ -12,6 +12,7 @@
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvnode"
 	"balsamvane/core/bvretry"
+	"balsamvane/io/bvcodec"
 	"balsamvane/io/bvplatform"
 
 	"connectrpc.com/connect"
@@ -145,7 +146,7 @@
 // change are returned at once.
 func call[Q, A any](ctx context.Context, c *Client, at netip.AddrPort, procedure string, q *Q) (*A, error) {
 	client := connect.NewClient[Q, A](c.http, c.scheme+"://"+at.String()+procedure,
-		connect.WithCodec(newCodec()), connect.WithReadMaxBytes(maxAnswer))
+		connect.WithCodec(bvcodec.New()), connect.WithReadMaxBytes(maxAnswer))
 	c.budget.Called(c.clock.Now())
 	a, err := attempt(ctx, c, client, q)
 	if err == nil || !retryable(err) || ctx.Err() != nil || !c.budget.Allow(c.clock.Now()) {
--- a/io/bvpeer/server.go
+++ b/io/bvpeer/server.go
@@ -14,6 +14,7 @@
 
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvnode"
+	"balsamvane/io/bvcodec"
 
 	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
@@ -116,7 +117,7 @@
 // HTTP returns the server as an HTTP handler that checks the shared key, or
 // leaves the check to TLS if certificates are set.
 func (s *Server) HTTP() http.Handler {
-	o := []connect.HandlerOption{connect.WithCodec(newCodec()), connect.WithReadMaxBytes(maxRequest)}
+	o := []connect.HandlerOption{connect.WithCodec(bvcodec.New()), connect.WithReadMaxBytes(maxRequest)}
 	m := http.NewServeMux()
 	m.Handle(procedureSync, connect.NewUnaryHandler(procedureSync, s.sync, o...))
 	m.Handle(procedurePush, connect.NewUnaryHandler(procedurePush, s.push, o...))
--- /dev/null
+++ b/io/bvrelay/bvrelay.go
@@ -0,0 +1,254 @@
+// Package bvrelay lets balancers follow a balancer's catalog as that follows
+// the platform's store, so that few balancers read the store.
+//
+// A watch waits at the serving balancer until there are changes. Each answer
+// says how long ago the store confirmed the state, so that a follower can tell
+// a balancer that has lost the store itself. Calls use connect over HTTP/1.1
+// with a CBOR codec, like those of package bvpeer.
+//
+// # Usage
+//
+//	server := bvrelay.NewServer(provider, clock)
+//	go server.Serve(ctx, listener)
+//	source := bvfollower.Source{Name: "peer", Store: bvrelay.NewClient(address, node)}
+package bvrelay
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvconfig"
+	"balsamvane/io/bvfollower"
+)
+
+const (
+	procedureWatch = "/balsamvane.relay.v1.Relay/Watch"
+	// maxRequest and maxAnswer bound a message in bytes. A listing of 140,000
+	// upstreams takes 8 MB.
+	maxRequest = 4 << 10
+	maxAnswer  = 16 << 20
+	// maxWatches bounds the followers of one balancer.
+	maxWatches = 128
+	// maxWait bounds the wait that a follower may ask for.
+	maxWait = 10 * time.Second
+)
+
+// ErrChange is returned for a change that cannot be decoded.
+var ErrChange = errors.New("bvrelay: malformed change")
+
+// The wire forms of what a catalog holds. Addresses are in their binary form,
+// durations in milliseconds.
+
+type watchRequest struct {
+	After int64  `cbor:"1,keyasint"`
+	List  bool   `cbor:"2,keyasint,omitempty"` // All entries, at once.
+	Wait  uint32 `cbor:"3,keyasint,omitempty"`
+}
+
+type watchAnswer struct {
+	Revision int64        `cbor:"1,keyasint"`
+	Age      uint64       `cbor:"2,keyasint,omitempty"`
+	Changes  []wireChange `cbor:"3,keyasint,omitempty"`
+}
+
+// wireChange has one of its fields set.
+type wireChange struct {
+	Declared   *wireDeclared   `cbor:"1,keyasint,omitempty"`
+	ZoneOut    string          `cbor:"2,keyasint,omitempty"`
+	ZoneBack   string          `cbor:"3,keyasint,omitempty"`
+	Upstream   *wireUpstream   `cbor:"4,keyasint,omitempty"`
+	Gone       *wireGone       `cbor:"5,keyasint,omitempty"`
+	Unreadable *wireUnreadable `cbor:"6,keyasint,omitempty"`
+}
+
+type wireDeclared struct {
+	Version  uint64        `cbor:"1,keyasint"`
+	Routes   []wireRoute   `cbor:"2,keyasint,omitempty"`
+	Services []wireService `cbor:"3,keyasint,omitempty"`
+}
+
+type wireRoute struct {
+	_          struct{} `cbor:",toarray"`
+	Name       string
+	Address    []byte
+	Idempotent bool
+	Backends   []wireBackend
+}
+
+type wireBackend struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Weight  uint32
+}
+
+type wireService struct {
+	_           struct{} `cbor:",toarray"`
+	Name        string
+	ColdRate    float64
+	ColdFor     uint64
+	Connections uint32
+}
+
+type wireUpstream struct {
+	_        struct{} `cbor:",toarray"`
+	Revision int64
+	ID       uint64
+	Address  []byte
+	Service  string
+	Zone     string
+	Slots    uint32
+	Draining bool
+	ColdFor  uint64
+}
+
+type wireGone struct {
+	_        struct{} `cbor:",toarray"`
+	Revision int64
+	ID       uint64
+}
+
+type wireUnreadable struct {
+	_        struct{} `cbor:",toarray"`
+	Revision int64
+	ID       uint64
+	Problem  string
+}
+
+func encode(l bvfollower.Listing) *watchAnswer {
+	out := &watchAnswer{Revision: int64(l.Revision), Age: milliseconds(l.Age)}
+	for _, c := range l.Changes {
+		out.Changes = append(out.Changes, encodeChange(c))
+	}
+	return out
+}
+
+func encodeChange(c bvcatalog.Change) wireChange {
+	switch v := c.(type) {
+	case bvcatalog.Declared:
+		return wireChange{Declared: encodeDeclared(v)}
+	case bvcatalog.ZoneOut:
+		return wireChange{ZoneOut: v.Zone}
+	case bvcatalog.ZoneBack:
+		return wireChange{ZoneBack: v.Zone}
+	case bvcatalog.UpstreamPut:
+		u := v.Upstream
+		return wireChange{Upstream: &wireUpstream{
+			Revision: int64(v.Revision), ID: uint64(u.ID), Address: encodeAddress(u.Address), Service: u.Service,
+			Zone: u.Zone, Slots: u.Slots, Draining: u.Draining, ColdFor: milliseconds(u.ColdFor),
+		}}
+	case bvcatalog.UpstreamGone:
+		return wireChange{Gone: &wireGone{Revision: int64(v.Revision), ID: uint64(v.ID)}}
+	case bvcatalog.UpstreamUnreadable:
+		return wireChange{Unreadable: &wireUnreadable{Revision: int64(v.Revision), ID: uint64(v.ID), Problem: v.Problem}}
+	}
+	return wireChange{}
+}
+
+func encodeDeclared(d bvcatalog.Declared) *wireDeclared {
+	w := &wireDeclared{Version: d.Version}
+	for _, r := range d.Routes {
+		x := wireRoute{Name: r.Name, Address: encodeAddress(r.Address), Idempotent: r.Idempotent}
+		for _, b := range r.Backends {
+			x.Backends = append(x.Backends, wireBackend{Service: b.Service, Weight: b.Weight})
+		}
+		w.Routes = append(w.Routes, x)
+	}
+	for _, s := range d.Services {
+		w.Services = append(w.Services, wireService{
+			Name: s.Name, ColdRate: s.ColdFlowsPerSecond, ColdFor: milliseconds(s.ColdFor), Connections: s.Connections,
+		})
+	}
+	return w
+}
+
+func (w *watchAnswer) decode() (bvfollower.Listing, error) {
+	out := bvfollower.Listing{Revision: bvcatalog.Revision(w.Revision), Age: duration(w.Age)}
+	for _, x := range w.Changes {
+		c, err := x.decode()
+		if err != nil {
+			return bvfollower.Listing{}, err
+		}
+		out.Changes = append(out.Changes, c)
+	}
+	return out, nil
+}
+
+func (x wireChange) decode() (bvcatalog.Change, error) {
+	switch {
+	case x.Declared != nil:
+		return x.Declared.decode()
+	case x.ZoneOut != "":
+		return bvcatalog.ZoneOut{Zone: x.ZoneOut}, nil
+	case x.ZoneBack != "":
+		return bvcatalog.ZoneBack{Zone: x.ZoneBack}, nil
+	case x.Upstream != nil:
+		return x.Upstream.decode()
+	case x.Gone != nil:
+		return bvcatalog.UpstreamGone{Revision: bvcatalog.Revision(x.Gone.Revision), ID: bvconfig.UpstreamID(x.Gone.ID)}, nil
+	case x.Unreadable != nil:
+		return bvcatalog.UpstreamUnreadable{
+			Revision: bvcatalog.Revision(x.Unreadable.Revision), ID: bvconfig.UpstreamID(x.Unreadable.ID), Problem: x.Unreadable.Problem,
+		}, nil
+	}
+	return nil, ErrChange
+}
+
+func (w *wireDeclared) decode() (bvcatalog.Change, error) {
+	d := bvcatalog.Declared{Version: w.Version}
+	for _, x := range w.Routes {
+		a, err := decodeAddress(x.Address)
+		if err != nil {
+			return nil, err
+		}
+		r := bvcatalog.Route{Name: x.Name, Address: a, Idempotent: x.Idempotent}
+		for _, b := range x.Backends {
+			r.Backends = append(r.Backends, bvcatalog.Backend{Service: b.Service, Weight: b.Weight})
+		}
+		if len(r.Backends) == 0 {
+			return nil, ErrChange
+		}
+		d.Routes = append(d.Routes, r)
+	}
+	for _, s := range w.Services {
+		d.Services = append(d.Services, bvcatalog.ServiceLimits{
+			Name: s.Name, ColdFlowsPerSecond: s.ColdRate, ColdFor: duration(s.ColdFor), Connections: s.Connections,
+		})
+	}
+	return d, nil
+}
+
+func (w *wireUpstream) decode() (bvcatalog.Change, error) {
+	a, err := decodeAddress(w.Address)
+	if err != nil {
+		return nil, err
+	}
+	return bvcatalog.UpstreamPut{Revision: bvcatalog.Revision(w.Revision), Upstream: bvcatalog.Upstream{
+		ID: bvconfig.UpstreamID(w.ID), Address: a, Service: w.Service, Zone: w.Zone, Slots: w.Slots,
+		Draining: w.Draining, ColdFor: duration(w.ColdFor),
+	}}, nil
+}
+
+func encodeAddress(a netip.AddrPort) []byte {
+	b, err := a.MarshalBinary()
+	if err != nil {
+		panic(err) // MarshalBinary of an AddrPort has no error to return.
+	}
+	return b
+}
+
+func decodeAddress(b []byte) (netip.AddrPort, error) {
+	var a netip.AddrPort
+	if err := a.UnmarshalBinary(b); err != nil || !a.IsValid() {
+		return a, ErrChange
+	}
+	return a, nil
+}
+
+func milliseconds(d time.Duration) uint64 { return uint64(max(d, 0).Milliseconds()) }
+
+// duration returns n milliseconds, or an hour if that is shorter.
+func duration(n uint64) time.Duration {
+	return min(time.Duration(min(n, uint64(time.Hour.Milliseconds())))*time.Millisecond, time.Hour)
+}
--- /dev/null
+++ b/io/bvrelay/client.go
@@ -0,0 +1,63 @@
+package bvrelay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"balsamvane/core/bvcatalog"
+	"balsamvane/io/bvcodec"
+	"balsamvane/io/bvfollower"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+)
+
+// dialTimeout bounds the opening of a connection. A peer that does not take
+// one within it is passed over.
+const dialTimeout = 500 * time.Millisecond
+
+// Client follows one balancer. It implements [bvfollower.Store].
+type Client struct {
+	transport *http.Transport
+	call      *connect.Client[watchRequest, watchAnswer]
+}
+
+// NewClient returns a client of the balancer whose control address is given.
+func NewClient(control netip.AddrPort) *Client {
+	t := &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost: 2,
+	}
+	return &Client{
+		transport: t,
+		call: connect.NewClient[watchRequest, watchAnswer](&http.Client{Transport: t}, "http://"+control.String()+procedureWatch,
+			connect.WithCodec(bvcodec.New()), connect.WithReadMaxBytes(maxAnswer)),
+	}
+}
+
+// List returns all that the balancer knows.
+func (c *Client) List(ctx context.Context) (bvfollower.Listing, error) {
+	return c.ask(ctx, &watchRequest{List: true})
+}
+
+// Watch waits for changes after a revision.
+func (c *Client) Watch(ctx context.Context, after bvcatalog.Revision, wait time.Duration) (bvfollower.Listing, error) {
+	return c.ask(ctx, &watchRequest{After: int64(after), Wait: uint32(wait.Milliseconds())})
+}
+
+func (c *Client) ask(ctx context.Context, q *watchRequest) (bvfollower.Listing, error) {
+	a, err := c.call.CallUnary(ctx, connect.NewRequest(q))
+	if connect.CodeOf(err) == connect.CodeOutOfRange {
+		return bvfollower.Listing{}, bvfollower.ErrCompacted
+	}
+	if err != nil {
+		return bvfollower.Listing{}, eris.Wrap(err, "bvrelay: asking a peer")
+	}
+	return a.Msg.decode()
+}
+
+// Disconnect makes the next call use a new connection.
+func (c *Client) Disconnect() { c.transport.CloseIdleConnections() }
--- /dev/null
+++ b/io/bvrelay/server.go
@@ -0,0 +1,102 @@
+package bvrelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"balsamvane/core/bvcatalog"
+	"balsamvane/io/bvcodec"
+	"balsamvane/io/bvfollower"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+)
+
+// Provider gives what followers ask for. It is called from several goroutines.
+type Provider interface {
+	// All returns all entries; ok is false while nothing is known.
+	All() (l bvfollower.Listing, ok bool)
+	// Since returns the changes after a revision; ok is false if they are not
+	// held any more.
+	Since(after bvcatalog.Revision) (l bvfollower.Listing, ok bool)
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// Server answers followers.
+type Server struct {
+	provider Provider
+	clock    clockwork.Clock
+	watches  chan struct{}
+}
+
+// NewServer returns a server that answers with what provider knows.
+func NewServer(p Provider, clock clockwork.Clock) *Server {
+	return &Server{provider: p, clock: clock, watches: make(chan struct{}, maxWatches)}
+}
+
+// Serve answers calls from l until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	m := http.NewServeMux()
+	m.Handle(procedureWatch, connect.NewUnaryHandler(procedureWatch, s.watch,
+		connect.WithCodec(bvcodec.New()), connect.WithReadMaxBytes(maxRequest)))
+	h := &http.Server{
+		Handler: m, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 5 * time.Second,
+		// The default writes lines that are not JSON.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
+	defer stop()
+	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrap(err, "bvrelay: serving")
+	}
+	return nil
+}
+
+func (s *Server) watch(ctx context.Context, r *connect.Request[watchRequest]) (*connect.Response[watchAnswer], error) {
+	select {
+	case s.watches <- struct{}{}:
+		defer func() { <-s.watches }()
+	default:
+		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("bvrelay: too many followers"))
+	}
+	if r.Msg.List {
+		l, ok := s.provider.All()
+		if !ok {
+			return nil, connect.NewError(connect.CodeUnavailable, errors.New("bvrelay: nothing is known yet"))
+		}
+		return connect.NewResponse(encode(l)), nil
+	}
+	l, ok := s.wait(ctx, r.Msg)
+	if !ok {
+		return nil, connect.NewError(connect.CodeOutOfRange, bvfollower.ErrCompacted)
+	}
+	return connect.NewResponse(encode(l)), nil
+}
+
+// wait returns the changes after a revision as soon as there are some, or none
+// at the end of the wait.
+func (s *Server) wait(ctx context.Context, q *watchRequest) (bvfollower.Listing, bool) {
+	after := bvcatalog.Revision(q.After)
+	end := s.clock.After(min(time.Duration(q.Wait)*time.Millisecond, maxWait))
+	for {
+		changed := s.provider.Changed()
+		l, ok := s.provider.Since(after)
+		if !ok || len(l.Changes) > 0 {
+			return l, ok
+		}
+		select {
+		case <-changed:
+			continue
+		case <-end:
+		case <-ctx.Done():
+		}
+		return s.provider.Since(after)
+	}
+}
