Turn to another source at once when a peer's state is old

The store turned three machines away in silence, two of them seeds. Followers waited 1.5 s at a seed that had lost the store, the seed waited 2 s for each try of the store, and two such seeds followed each other.

Change: a watch at a peer ends when the peer's state gets older than 1.8 s; a source that failed is asked for a quick answer; a bound of 1.8 s in place of 2.2 s.

--- a/core/bvsource/bvsource.go
+++ b/core/bvsource/bvsource.go
@@ -36,11 +36,14 @@
 	"balsamvane/core/bvretry"
 )
 
+// DefaultMaxAge is the age of a source's state from which another source is
+// tried. A source that reads the store hears from it every 1.5 s. A larger
+// bound lets two sources that have both lost the store follow each other.
+const DefaultMaxAge = 1800 * time.Millisecond
+
 // Options are the constants of the rules; zero values select the defaults.
 type Options struct {
-	// MaxAge is the age of a source's state from which another source is
-	// tried. It is above the wait and margin of a watch of the store. 2.2 s.
-	MaxAge time.Duration
+	MaxAge time.Duration // DefaultMaxAge.
 	// FirstDelay and MostDelay bound how long a failed source is left out.
 	// 100 ms and 2 s.
 	FirstDelay time.Duration
@@ -49,7 +52,7 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.MaxAge = cmp.Or(o.MaxAge, 2200*time.Millisecond)
+	o.MaxAge = cmp.Or(o.MaxAge, DefaultMaxAge)
 	o.FirstDelay = cmp.Or(o.FirstDelay, 100*time.Millisecond)
 	o.MostDelay = cmp.Or(o.MostDelay, 2*time.Second)
 	return o
@@ -58,6 +61,7 @@
 // source is what is known of one source.
 type source struct {
 	backoff *bvretry.Backoff
+	failed  bool      // Its last answer was a failure.
 	until   time.Time // It is left out until then.
 }
 
@@ -100,13 +104,19 @@
 // Recent reports whether a state of that age may be used.
 func (l *List) Recent(age time.Duration) bool { return age <= l.options.MaxAge }
 
+// Doubtful reports whether the source failed last. It should be asked for a
+// quick answer then: while it is asked, no other source is.
+func (l *List) Doubtful(i int) bool { return l.sources[i].failed }
+
 // Failed leaves a source out for some time.
 func (l *List) Failed(now time.Time, i int) {
+	l.sources[i].failed = true
 	l.sources[i].until = now.Add(l.sources[i].backoff.Next())
 }
 
 // Answered takes note that a source is well.
 func (l *List) Answered(i int) {
 	l.sources[i].backoff.Reset()
+	l.sources[i].failed = false
 	l.sources[i].until = time.Time{}
 }
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -160,7 +160,7 @@
 			f.sleep(ctx, wait)
 			continue
 		}
-		l, err := f.step(ctx, f.sources[i], sink)
+		l, err := f.step(ctx, i, sink)
 		if ctx.Err() != nil {
 			break
 		}
@@ -177,7 +177,8 @@
 }
 
 // step makes one call.
-func (f *Follower) step(ctx context.Context, s Source, sink func(Event)) (Listing, error) {
+func (f *Follower) step(ctx context.Context, i int, sink func(Event)) (Listing, error) {
+	s := f.sources[i]
 	if !f.listed {
 		l, err := f.call(ctx, f.options.ListTimeout, s.Store.List)
 		if err != nil {
@@ -188,6 +189,9 @@
 		return Listing{}, nil
 	}
 	wait := cmp.Or(s.Wait, defaultWait)
+	if f.list.Doubtful(i) {
+		wait = 0
+	}
 	l, err := f.call(ctx, wait+f.options.WatchMargin, func(ctx context.Context) (Listing, error) {
 		return s.Store.Watch(ctx, f.revision, wait)
 	})
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -32,6 +32,7 @@
 
 	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvflow"
+	"balsamvane/core/bvsource"
 	"balsamvane/core/bvtoken"
 	"balsamvane/io/bvadmin"
 	"balsamvane/io/bvfollower"
@@ -165,7 +166,9 @@
 	p.Go(func(ctx context.Context) error { return w.serveReady(ctx) })
 	p.Go(func(ctx context.Context) error { return bvadmin.New(w.metrics, w.sources()).Serve(ctx, w.admin) })
 	if w.control != nil {
-		p.Go(func(ctx context.Context) error { return bvrelay.NewServer(provider{w}, w.clock).Serve(ctx, w.control) })
+		p.Go(func(ctx context.Context) error {
+			return bvrelay.NewServer(provider{w}, w.clock, bvsource.DefaultMaxAge).Serve(ctx, w.control)
+		})
 	}
 	p.Go(func(work context.Context) error {
 		w.awaitStop(ctx, work)
--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -8,9 +8,9 @@
 //
 // # Usage
 //
-//	server := bvrelay.NewServer(provider, clock)
+//	server := bvrelay.NewServer(provider, clock, bvsource.DefaultMaxAge)
 //	go server.Serve(ctx, listener)
-//	source := bvfollower.Source{Name: "peer", Store: bvrelay.NewClient(address, node)}
+//	source := bvfollower.Source{Name: "peer", Store: bvrelay.NewClient(address)}
 package bvrelay
 
 import (
--- a/io/bvrelay/server.go
+++ b/io/bvrelay/server.go
@@ -33,12 +33,14 @@
 type Server struct {
 	provider Provider
 	clock    clockwork.Clock
+	maxAge   time.Duration
 	watches  chan struct{}
 }
 
-// NewServer returns a server that answers with what provider knows.
-func NewServer(p Provider, clock clockwork.Clock) *Server {
-	return &Server{provider: p, clock: clock, watches: make(chan struct{}, maxWatches)}
+// NewServer returns a server that answers with what provider knows. A watch
+// ends when that is older than maxAge, so that followers turn to others.
+func NewServer(p Provider, clock clockwork.Clock, maxAge time.Duration) *Server {
+	return &Server{provider: p, clock: clock, maxAge: maxAge, watches: make(chan struct{}, maxWatches)}
 }
 
 // Serve answers calls from l until ctx ends.
@@ -88,12 +90,15 @@
 	for {
 		changed := s.provider.Changed()
 		l, ok := s.provider.Since(after)
-		if !ok || len(l.Changes) > 0 {
+		left := s.maxAge - l.Age
+		if !ok || len(l.Changes) > 0 || left <= 0 {
 			return l, ok
 		}
 		select {
 		case <-changed:
 			continue
+		case <-s.clock.After(left):
+			continue
 		case <-end:
 		case <-ctx.Done():
 		}
