Test the decisions from tokens and the catalog; keep cold budgets in each second

An opening and its request counted twice, so a zone with one quick upstream sent a quarter of its flows to other zones.

Change: a flat budget splits the share into bucket and refill; a balancer whose share is below one flow places none on a cold upstream; an opening counts with its request.

--- /dev/null
+++ b/core/bvcatalog/catalog_test.go
@@ -0,0 +1,262 @@
+package bvcatalog
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"balsamvane/core/bvconfig"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func upstream(id bvconfig.UpstreamID) Upstream {
+	return Upstream{
+		ID: id, Address: netip.MustParseAddrPort("192.0.2.1:8080"), Service: "tickets", Zone: "zone-a", Slots: 4,
+	}
+}
+
+func put(r Revision, id bvconfig.UpstreamID) UpstreamPut {
+	return UpstreamPut{Revision: r, Upstream: upstream(id)}
+}
+
+func declared(version uint64, ports ...uint16) Declared {
+	d := Declared{Version: version, Services: []ServiceLimits{{Name: "tickets"}}}
+	for _, p := range ports {
+		d.Routes = append(d.Routes, Route{
+			Address:  netip.AddrPortFrom(netip.MustParseAddr("198.51.100.1"), p),
+			Backends: []Backend{{Service: "tickets", Weight: 1}},
+		})
+	}
+	return d
+}
+
+// listed returns a catalog with a configuration and two upstreams.
+func listed(o Options) *Catalog {
+	c := New(o)
+	c.Replace(start, 0, 10, []Change{declared(3, 80), put(4, 1), put(5, 2)})
+	return c
+}
+
+func ids(c *Catalog) []bvconfig.UpstreamID {
+	var out []bvconfig.UpstreamID
+	if s := c.Service("tickets"); s != nil {
+		for _, e := range s.Entries {
+			out = append(out, e.ID)
+		}
+	}
+	return out
+}
+
+// TestVersionNeverReverts guards against a configuration that goes back when a
+// lagging source answers.
+func TestVersionNeverReverts(t *testing.T) {
+	c := listed(Options{})
+	c.Apply(at(time.Second), 0, 11, []Change{declared(7, 80, 81)})
+	c.Apply(at(2*time.Second), 0, 12, []Change{declared(5, 80)})
+	assert.EqualValues(t, 7, c.Version())
+	assert.Equal(t, 2, c.Routes())
+	c.Replace(at(3*time.Second), 0, 9, []Change{declared(3, 80), put(4, 1)})
+	assert.EqualValues(t, 7, c.Version())
+	assert.Len(t, ids(c), 2, "a listing older than the catalog removes nothing")
+
+	wrong := New(Options{lastWins: true})
+	wrong.Replace(start, 0, 1, []Change{declared(7, 80, 81)})
+	wrong.Apply(start, 0, 2, []Change{declared(5, 80)})
+	assert.EqualValues(t, 5, wrong.Version(), "the check detects a missing safeguard")
+}
+
+// TestRemoval guards against upstreams that stay in use after they have left,
+// and against the loss of all upstreams when their entries expire while the
+// platform's store is down.
+func TestRemoval(t *testing.T) {
+	gone := []Change{UpstreamGone{Revision: 12, ID: 2}}
+	tests := []struct {
+		name    string
+		options Options
+		quiet   time.Duration // Between the listing and the removal.
+		back    bool          // The entry is written again a second later.
+		soon    int           // Upstreams right after the removal.
+		later   int           // Three seconds later.
+	}{
+		{name: "store answers all the time", quiet: 1500 * time.Millisecond, soon: 1, later: 1},
+		{name: "after an outage, upstream lives", quiet: 5 * time.Second, back: true, soon: 2, later: 2},
+		{name: "after an outage, upstream is dead", quiet: 5 * time.Second, soon: 2, later: 1},
+		{name: "without the settle time", options: Options{noSettle: true}, quiet: 5 * time.Second, soon: 1, later: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for name, remove := range map[string]func(*Catalog, time.Time){
+				"by a change":  func(c *Catalog, now time.Time) { c.Apply(now, 0, 12, gone) },
+				"by a listing": func(c *Catalog, now time.Time) { c.Replace(now, 0, 12, []Change{declared(3, 80), put(4, 1)}) },
+			} {
+				t.Run(name, func(t *testing.T) {
+					c := listed(tt.options)
+					now := at(tt.quiet)
+					remove(c, now)
+					assert.Len(t, ids(c), tt.soon)
+					if tt.back {
+						c.Apply(now.Add(time.Second), 0, 13, []Change{put(13, 2)})
+					}
+					c.Answered(now.Add(2*time.Second), 0)
+					c.Tick(now.Add(3 * time.Second))
+					assert.Len(t, ids(c), tt.later)
+				})
+			}
+		})
+	}
+}
+
+// TestDrainingIsRemovedAtOnce guards against new work for an upstream that
+// has drained and left during an outage: it cannot have expired.
+func TestDrainingIsRemovedAtOnce(t *testing.T) {
+	c := listed(Options{})
+	u := upstream(2)
+	u.Draining = true
+	c.Apply(at(time.Second), 0, 11, []Change{UpstreamPut{Revision: 11, Upstream: u}})
+	c.Apply(at(9*time.Second), 0, 12, []Change{UpstreamGone{Revision: 12, ID: 2}})
+	assert.Equal(t, []bvconfig.UpstreamID{1}, ids(c))
+}
+
+// TestOldChanges guards against entries that go back to an earlier state when
+// sources repeat changes.
+func TestOldChanges(t *testing.T) {
+	c := listed(Options{})
+	c.Apply(at(time.Second), 0, 12, []Change{UpstreamGone{Revision: 12, ID: 2}})
+	c.Apply(at(time.Second), 0, 12, []Change{put(5, 2)})
+	assert.Equal(t, []bvconfig.UpstreamID{1}, ids(c), "an entry from before the removal")
+	c.Apply(at(time.Second), 0, 14, []Change{put(14, 2)})
+	c.Apply(at(time.Second), 0, 14, []Change{UpstreamGone{Revision: 12, ID: 2}})
+	assert.Len(t, ids(c), 2, "a removal from before the entry")
+}
+
+// TestUnreadableEntry guards against the use of an entry that another writer
+// has spoiled, and against the loss of the flows that its upstream holds.
+func TestUnreadableEntry(t *testing.T) {
+	c := listed(Options{})
+	c.Apply(at(time.Second), 0, 11, []Change{
+		UpstreamUnreadable{Revision: 11, ID: 2, Problem: "state is not known"},
+		UpstreamUnreadable{Revision: 11, ID: 9, Problem: "state is not known"},
+	})
+	e := c.ByToken(TokenOf(2))
+	require.NotNil(t, e)
+	assert.False(t, e.Takes())
+	assert.False(t, e.Gone())
+	assert.Nil(t, c.ByToken(TokenOf(9)))
+	c.Apply(at(2*time.Second), 0, 12, []Change{put(12, 2)})
+	assert.True(t, c.ByToken(TokenOf(2)).Takes())
+}
+
+// TestTokenCollision guards against flows that reach an upstream of another
+// token: of two upstreams with one token, the same one has it everywhere.
+func TestTokenCollision(t *testing.T) {
+	const low, high = bvconfig.UpstreamID(7), bvconfig.UpstreamID(6<<32 | 1)
+	require.Equal(t, TokenOf(low), TokenOf(high))
+	for _, order := range [][]bvconfig.UpstreamID{{low, high}, {high, low}} {
+		c := New(Options{})
+		c.Replace(start, 0, 1, []Change{declared(1, 80), put(1, order[0])})
+		c.Apply(start, 0, 2, []Change{put(2, order[1])})
+		e := c.ByToken(TokenOf(low))
+		assert.Equal(t, low, e.ID)
+		assert.True(t, e.Takes())
+		for _, e := range c.Service("tickets").Entries {
+			assert.Equal(t, e.ID == low, e.Takes())
+		}
+		c.Apply(at(time.Second), 0, 3, []Change{UpstreamGone{Revision: 3, ID: low}})
+		assert.Equal(t, high, c.ByToken(TokenOf(high)).ID, "the other has it once the first is gone")
+	}
+	assert.NotZero(t, TokenOf(0))
+}
+
+// TestGoneIsRemembered guards against the loss of what is known of an
+// upstream that has left: its flows have ended, which a balancer must be able
+// to tell from an upstream that it has not heard of.
+func TestGoneIsRemembered(t *testing.T) {
+	c := listed(Options{})
+	c.Apply(at(time.Second), 0, 12, []Change{UpstreamGone{Revision: 12, ID: 2}})
+	require.NotNil(t, c.ByToken(TokenOf(2)))
+	assert.True(t, c.ByToken(TokenOf(2)).Gone())
+	c.Tick(at(2 * time.Minute))
+	assert.Nil(t, c.ByToken(TokenOf(2)))
+}
+
+// TestAge guards against a catalog that takes the answer of a peer for one of
+// the store.
+func TestAge(t *testing.T) {
+	c := listed(Options{})
+	c.Answered(at(3*time.Second), time.Second)
+	assert.Equal(t, time.Second, c.Age(at(3*time.Second)))
+	c.Answered(at(4*time.Second), 3*time.Second)
+	assert.Equal(t, 2*time.Second, c.Age(at(4*time.Second)), "an older answer tells nothing new")
+}
+
+// TestZones guards against a zone that stays out of service, or comes back
+// too early.
+func TestZones(t *testing.T) {
+	c := listed(Options{})
+	c.Apply(start, 0, 11, []Change{ZoneOut{"zone-a"}, ZoneOut{"zone-b"}})
+	assert.Equal(t, []string{"zone-a", "zone-b"}, c.ZonesOut())
+	c.Apply(start, 0, 12, []Change{ZoneBack{"zone-a"}})
+	assert.False(t, c.ZoneOut("zone-a"))
+	c.Replace(start, 0, 13, []Change{declared(3, 80), ZoneOut{"zone-c"}})
+	assert.Equal(t, []string{"zone-c"}, c.ZonesOut())
+}
+
+// TestCold guards against a cold time that starts again whenever a listing
+// repeats an entry.
+func TestCold(t *testing.T) {
+	c := New(Options{})
+	u := upstream(1)
+	u.ColdFor = 2 * time.Second
+	entry := []Change{declared(1, 80), UpstreamPut{Revision: 2, Upstream: u}}
+	c.Replace(start, 0, 2, entry)
+	c.Replace(at(1500*time.Millisecond), 0, 3, entry)
+	assert.True(t, c.ByToken(TokenOf(1)).Cold(at(time.Second)))
+	assert.False(t, c.ByToken(TokenOf(1)).Cold(at(2*time.Second)))
+}
+
+// TestFollowing guards against a follower that ends up with another state
+// than the balancer that it follows, whether it lists or goes on.
+func TestFollowing(t *testing.T) {
+	c := listed(Options{})
+	follower := New(Options{})
+	follower.Replace(start, 0, c.Revision(), c.All(start))
+	steps := [][]Change{
+		{put(11, 3), ZoneOut{"zone-b"}},
+		{UpstreamGone{Revision: 12, ID: 1}, declared(9, 80, 81)},
+		{UpstreamUnreadable{Revision: 13, ID: 3}, ZoneBack{"zone-b"}, ZoneOut{"zone-c"}},
+	}
+	for i, cs := range steps {
+		c.Apply(start, 0, Revision(11+i), cs)
+		if i == 0 {
+			continue // The follower misses an answer.
+		}
+		changes, ok := c.Since(follower.Revision())
+		require.True(t, ok)
+		follower.Apply(start, 0, c.Revision(), changes)
+		assert.Equal(t, c.All(start), follower.All(start))
+		assert.Equal(t, c.Revision(), follower.Revision())
+	}
+	_, ok := c.Since(3)
+	assert.False(t, ok, "changes from before the listing are not held")
+}
+
+// TestHistoryIsBounded guards against memory that grows with the changes.
+func TestHistoryIsBounded(t *testing.T) {
+	c := listed(Options{})
+	for i := range 2 * maxHistory {
+		r := Revision(11 + i)
+		c.history.append(r, []Change{put(r, 1)})
+	}
+	assert.LessOrEqual(t, c.history.size, maxHistory)
+	_, ok := c.Since(11)
+	assert.False(t, ok)
+	cs, ok := c.Since(Revision(10 + 2*maxHistory - 5))
+	assert.True(t, ok)
+	assert.Len(t, cs, 5)
+}
--- a/core/bvlimit/bvlimit.go
+++ b/core/bvlimit/bvlimit.go
@@ -88,7 +88,8 @@
 	Cold   float64
 	Warm   float64
 	WarmUp time.Duration
-	// Flat keeps the bound at Cold for the whole of WarmUp.
+	// Flat keeps the bound at Cold for the whole of WarmUp, and in each span of
+	// a second, so that a balancer whose share is below one flow places none.
 	Flat    bool
 	Leaving bool
 }
@@ -243,6 +244,9 @@
 	if !bounded {
 		return true
 	}
+	if x.Flat {
+		return l.takeFlat(x, rate/l.balancers, at)
+	}
 	share := rate / l.balancers
 	if gap := at - x.refilled; gap > 0 {
 		// The rate rises linearly, so the mean of both ends is exact.
@@ -263,6 +267,24 @@
 	return true
 }
 
+// takeFlat takes one flow from a bucket whose size and refill in a second
+// together are the share, so that no span of a second gets more.
+func (l *Limiter) takeFlat(x *upstream, share float64, at time.Duration) bool {
+	if share < 1 {
+		return false
+	}
+	size := max(1, share/2)
+	if gap := at - x.refilled; gap > 0 {
+		x.tokens = min(x.tokens+(share-size)*gap.Seconds(), size)
+		x.refilled = at
+	}
+	if x.tokens < 1 {
+		return false
+	}
+	x.tokens--
+	return true
+}
+
 // Admit reports whether this balancer may place a new flow on u now. If so it
 // takes the flow from u's rate and counts an opening as sent to u, so it is
 // called only for a flow that is then placed. It does not allocate.
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -71,7 +71,8 @@
 // the request was answered; it repeats data, so the upstream has not
 // acknowledged it.
 func (r *Router) learn(now time.Time, k bvflow.Key, t *target, p Packet) {
-	if _, ok := r.pending.openings[k]; ok {
+	_, first := r.pending.openings[k]
+	if first {
 		delete(r.pending.openings, k)
 		r.alive(now, t)
 	}
@@ -91,8 +92,10 @@
 	r.release(lost)
 	switch {
 	case starts:
-		t.load.add(now, 1)
 		t.load.open++
+		if !first { // The opening counts for the request that comes with it.
+			t.load.add(now, 1)
+		}
 	case repeats:
 		r.unanswered(now, t)
 	}
--- a/io/bvsettings/bvsettings.go
+++ b/io/bvsettings/bvsettings.go
@@ -123,7 +123,7 @@
 			// About 1 ms of packets at a million a second.
 			PacketQueue:           1024,
 			ControlBytesPerSecond: 3000,
-			ColdBalancers:         4,
+			ColdBalancers:         32,
 			ColdFactor:            1,
 			ColdSlack:             0,
 		},
