--- /dev/null
+++ b/io/bvfollower/bvfollower_test.go
@@ -0,0 +1,196 @@
+package bvfollower
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"balsamvane/core/bvcatalog"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+)
+
+// call is one call that a fake store got; its answer is sent to it.
+type call struct {
+	list   bool
+	after  bvcatalog.Revision
+	wait   time.Duration
+	answer chan<- answer
+}
+
+type answer struct {
+	listing Listing
+	err     error
+}
+
+// fakeStore hands its calls to the test.
+type fakeStore struct {
+	calls        chan call
+	mu           sync.Mutex
+	disconnected int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{calls: make(chan call)} }
+
+func (s *fakeStore) ask(ctx context.Context, c call) (Listing, error) {
+	a := make(chan answer, 1)
+	c.answer = a
+	select {
+	case s.calls <- c:
+	case <-ctx.Done():
+		return Listing{}, ctx.Err()
+	}
+	select {
+	case v := <-a:
+		return v.listing, v.err
+	case <-ctx.Done():
+		return Listing{}, ctx.Err()
+	}
+}
+
+func (s *fakeStore) List(ctx context.Context) (Listing, error) { return s.ask(ctx, call{list: true}) }
+
+func (s *fakeStore) Watch(ctx context.Context, after bvcatalog.Revision, wait time.Duration) (Listing, error) {
+	return s.ask(ctx, call{after: after, wait: wait})
+}
+
+func (s *fakeStore) Disconnect() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.disconnected++
+}
+
+func (s *fakeStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.disconnected
+}
+
+// fixture runs a follower of a peer and the store.
+type fixture struct {
+	t        *testing.T
+	clock    *clockwork.FakeClock
+	peer     *fakeStore
+	store    *fakeStore
+	follower *Follower
+	events   chan Event
+	ctx      context.Context
+}
+
+func newFixture(t *testing.T) *fixture {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	f := &fixture{
+		t: t, clock: clockwork.NewFakeClock(), peer: newFakeStore(), store: newFakeStore(),
+		events: make(chan Event, 100), ctx: ctx,
+	}
+	f.follower = New([]Source{{Name: "peer", Store: f.peer}, {Name: "store", Store: f.store, Direct: true}},
+		f.clock, zap.NewNop(), Options{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.follower.Run(ctx, func(e Event) { f.events <- e })
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return f
+}
+
+// next returns the next call to s, letting time pass until there is one.
+func (f *fixture) next(s *fakeStore) call {
+	for {
+		select {
+		case c := <-s.calls:
+			return c
+		case <-f.ctx.Done():
+			require.Fail(f.t, "no call")
+		case <-time.After(5 * time.Millisecond):
+			f.clock.Advance(50 * time.Millisecond)
+		}
+	}
+}
+
+func (f *fixture) listed(revision bvcatalog.Revision) {
+	c := f.next(f.store)
+	require.True(f.t, c.list)
+	c.answer <- answer{listing: Listing{Revision: revision}}
+	require.Equal(f.t, Listed{Listing{Revision: revision}}, <-f.events)
+}
+
+// TestFollows guards against changes that are lost or asked for twice.
+func TestFollows(t *testing.T) {
+	f := newFixture(t)
+	f.listed(5)
+	changes := []bvcatalog.Change{bvcatalog.ZoneOut{Zone: "zone-a"}}
+	c := f.next(f.peer)
+	assert.EqualValues(t, 5, c.after)
+	c.answer <- answer{listing: Listing{Revision: 8, Changes: changes}}
+	assert.Equal(t, Changed{Listing{Revision: 8, Changes: changes}}, <-f.events)
+	c = f.next(f.peer)
+	assert.EqualValues(t, 8, c.after)
+	c.answer <- answer{listing: Listing{Revision: 7}}
+	<-f.events
+	assert.EqualValues(t, 8, f.next(f.peer).after, "a lagging source does not set the follower back")
+}
+
+// TestTurnsAway guards against a follower that stays with a source that fails,
+// has lost the store, or has gone silent on an open connection.
+func TestTurnsAway(t *testing.T) {
+	tests := map[string]func(c call){
+		"refuses":            func(c call) { c.answer <- answer{err: errors.New("refused")} },
+		"has lost the store": func(c call) { c.answer <- answer{listing: Listing{Revision: 5, Age: 3 * time.Second}} },
+		"is silent":          func(call) {},
+	}
+	for name, fail := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.listed(5)
+			fail(f.next(f.peer))
+			c := f.next(f.store)
+			assert.False(t, c.list, "it goes on from the revision that it has")
+			assert.EqualValues(t, 5, c.after)
+			assert.Equal(t, 1, f.peer.count(), "a silent connection is given up")
+			c.answer <- answer{listing: Listing{Revision: 6}}
+			c = f.next(f.peer)
+			assert.Zero(t, c.wait, "a source that failed is asked for a quick answer")
+			assert.EqualValues(t, 6, c.after)
+		})
+	}
+}
+
+// TestCompacted guards against a follower that misses the changes that the
+// source has forgotten.
+func TestCompacted(t *testing.T) {
+	f := newFixture(t)
+	f.listed(5)
+	f.next(f.peer).answer <- answer{err: ErrCompacted}
+	c := f.next(f.peer)
+	assert.True(t, c.list)
+	c.answer <- answer{listing: Listing{Revision: 90}}
+	assert.Equal(t, Listed{Listing{Revision: 90}}, <-f.events)
+}
+
+// TestFirstListing guards against a start that waits for seeds which are still
+// down, and against one that waits for a store which is down.
+func TestFirstListing(t *testing.T) {
+	f := newFixture(t)
+	f.next(f.store).answer <- answer{err: errors.New("down")}
+	c := f.next(f.peer)
+	assert.True(t, c.list)
+	old := Listing{Revision: 3, Age: time.Minute}
+	c.answer <- answer{listing: old}
+	assert.Equal(t, Listed{old}, <-f.events, "an old state is better than none")
+}
+
+// TestSetSources guards against seeds of changed settings that are not used.
+func TestSetSources(t *testing.T) {
+	f := newFixture(t)
+	f.listed(5)
+	other := newFakeStore()
+	f.follower.SetSources([]Source{{Name: "other", Store: other}, {Name: "store", Store: f.store, Direct: true}})
+	f.next(f.peer).answer <- answer{listing: Listing{Revision: 6}}
+	assert.EqualValues(t, 6, f.next(other).after)
+}
--- /dev/null
+++ b/io/bvrelay/bvrelay_test.go
@@ -0,0 +1,193 @@
+package bvrelay
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"balsamvane/core/bvcatalog"
+	"balsamvane/io/bvcodec"
+	"balsamvane/io/bvfollower"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// fakeProvider serves a catalog.
+type fakeProvider struct {
+	mu      sync.Mutex
+	catalog *bvcatalog.Catalog
+	age     time.Duration
+	changed chan struct{}
+}
+
+func newFakeProvider() *fakeProvider {
+	return &fakeProvider{catalog: bvcatalog.New(bvcatalog.Options{}), changed: make(chan struct{})}
+}
+
+func (p *fakeProvider) All() (bvfollower.Listing, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return bvfollower.Listing{Revision: p.catalog.Revision(), Age: p.age, Changes: p.catalog.All(time.Unix(0, 0))}, p.catalog.Complete()
+}
+
+func (p *fakeProvider) Since(after bvcatalog.Revision) (bvfollower.Listing, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cs, ok := p.catalog.Since(after)
+	return bvfollower.Listing{Revision: p.catalog.Revision(), Age: p.age, Changes: cs}, ok
+}
+
+func (p *fakeProvider) Changed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed
+}
+
+func (p *fakeProvider) update(f func(c *bvcatalog.Catalog)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(p.catalog)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+var allChanges = []bvcatalog.Change{
+	bvcatalog.Declared{
+		Version: 4,
+		Routes: []bvcatalog.Route{{
+			Name: "r", Address: netip.MustParseAddrPort("198.51.100.1:80"), Idempotent: true,
+			Backends: []bvcatalog.Backend{{Service: "desk", Weight: 90}, {Service: "new", Weight: 10}},
+		}},
+		Services: []bvcatalog.ServiceLimits{{Name: "desk", ColdFlowsPerSecond: 1.5, ColdFor: 2 * time.Second, Connections: 2000}},
+	},
+	bvcatalog.ZoneOut{Zone: "zone-a"},
+	bvcatalog.ZoneBack{Zone: "zone-b"},
+	bvcatalog.UpstreamPut{Revision: 3, Upstream: bvcatalog.Upstream{
+		ID: 1 << 63, Address: netip.MustParseAddrPort("[2001:db8::1]:8080"), Service: "desk", Zone: "zone-a", Slots: 4,
+		Draining: true, ColdFor: 1500 * time.Millisecond,
+	}},
+	bvcatalog.UpstreamGone{Revision: 5, ID: 9},
+	bvcatalog.UpstreamUnreadable{Revision: 6, ID: 10, Problem: "state is not known"},
+}
+
+// TestCodec guards against changes that arrive as something else.
+func TestCodec(t *testing.T) {
+	c := bvcodec.New()
+	l := bvfollower.Listing{Revision: 7, Age: 1200 * time.Millisecond, Changes: allChanges}
+	b, err := c.Marshal(encode(l))
+	require.NoError(t, err)
+	var a watchAnswer
+	require.NoError(t, c.Unmarshal(b, &a))
+	got, err := a.decode()
+	require.NoError(t, err)
+	assert.Equal(t, l, got)
+}
+
+// TestMalformed guards against changes without meaning that are taken over.
+func TestMalformed(t *testing.T) {
+	address := []byte{192, 0, 2, 1, 0, 80}
+	for name, w := range map[string]wireChange{
+		"empty":                    {},
+		"upstream without address": {Upstream: &wireUpstream{ID: 1}},
+		"short address":            {Upstream: &wireUpstream{ID: 1, Address: address[:3]}},
+		"route without service":    {Declared: &wireDeclared{Version: 1, Routes: []wireRoute{{Address: address}}}},
+		"route without address":    {Declared: &wireDeclared{Version: 1, Routes: []wireRoute{{Backends: []wireBackend{{Service: "desk", Weight: 1}}}}}},
+	} {
+		_, err := (&watchAnswer{Changes: []wireChange{w}}).decode()
+		assert.ErrorIs(t, err, ErrChange, name)
+	}
+}
+
+// serve starts a server on the loopback network.
+func serve(t *testing.T, p Provider, clock clockwork.Clock) *Client {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- NewServer(p, clock, 1800*time.Millisecond).Serve(ctx, l) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-done)
+	})
+	return NewClient(l.Addr().(*net.TCPAddr).AddrPort())
+}
+
+// TestFollow guards against a follower that misses changes, is told of none at
+// the end of its wait, or goes on from a history that is not held.
+func TestFollow(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	p := newFakeProvider()
+	c := serve(t, p, clockwork.NewRealClock())
+	_, err := c.List(ctx)
+	require.Error(t, err, "nothing is known yet")
+	p.update(func(c *bvcatalog.Catalog) { c.Replace(time.Unix(0, 0), 0, 7, allChanges[:1]) })
+	l, err := c.List(ctx)
+	require.NoError(t, err)
+	assert.EqualValues(t, 7, l.Revision)
+	assert.Equal(t, allChanges[:1], l.Changes)
+
+	l, err = c.Watch(ctx, 7, 0)
+	require.NoError(t, err)
+	assert.Empty(t, l.Changes)
+	type result struct {
+		listing bvfollower.Listing
+		err     error
+	}
+	waiting := make(chan result, 1)
+	go func() {
+		l, err := c.Watch(ctx, 7, 10*time.Second)
+		waiting <- result{l, err}
+	}()
+	p.update(func(c *bvcatalog.Catalog) { c.Apply(time.Unix(0, 0), 0, 9, allChanges[1:2]) })
+	r := <-waiting
+	require.NoError(t, r.err)
+	assert.Equal(t, allChanges[1:2], r.listing.Changes)
+	assert.EqualValues(t, 9, r.listing.Revision)
+
+	_, err = c.Watch(ctx, 2, 0)
+	assert.ErrorIs(t, err, bvfollower.ErrCompacted)
+}
+
+// TestOldStateEndsWatch guards against followers that wait at a balancer which
+// has lost the store itself.
+func TestOldStateEndsWatch(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	p := newFakeProvider()
+	p.catalog.Replace(time.Unix(0, 0), 0, 7, allChanges[:1])
+	p.age = 5 * time.Second
+	// The clock stands still, so only the age can end the wait.
+	l, err := serve(t, p, clockwork.NewFakeClock()).Watch(ctx, 7, 10*time.Second)
+	require.NoError(t, err)
+	assert.Equal(t, 5*time.Second, l.Age)
+}
+
+// FuzzAnswer guards against a panic for any bytes that a peer sends.
+func FuzzAnswer(f *testing.F) {
+	c := bvcodec.New()
+	b, err := c.Marshal(encode(bvfollower.Listing{Revision: 7, Changes: allChanges}))
+	require.NoError(f, err)
+	f.Add(b)
+	f.Add(b[:len(b)/2])
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var a watchAnswer
+		if err := c.Unmarshal(b, &a); err != nil {
+			return
+		}
+		l, err := a.decode()
+		if err != nil {
+			return
+		}
+		// What is decoded can be sent on.
+		again, err := encode(l).decode()
+		require.NoError(t, err)
+		require.Equal(t, l, again)
+	})
+}
