Log each decision about an opening; never wait for the output of the log

Change: io/bvlog with a bounded buffer and budgets by kind, counts of lines left out; decision lines with flow, token, upstream, reason, age and versions; standard output.

--- a/cmd/balsamvane/run.go
+++ b/cmd/balsamvane/run.go
@@ -16,6 +16,7 @@
 	"balsamvane/io/bvdaemon"
 	"balsamvane/io/bvfollower"
 	"balsamvane/io/bvforwarder"
+	"balsamvane/io/bvlog"
 	"balsamvane/io/bvrelay"
 	"balsamvane/io/bvsettings"
 	"balsamvane/platform"
@@ -67,12 +68,13 @@
 	if err := findings.Err(); err != nil {
 		return err
 	}
-	log, err := newLogger(s.LogLevel)
+	clock := clockwork.NewRealClock()
+	log, err := bvlog.New(s.LogLevel, os.Stdout, clock)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Sync() }()
-	b, err := newBalancer(path, s, clockwork.NewRealClock(), log)
+	defer log.Close()
+	b, err := newBalancer(path, s, clock, log.Logger)
 	if err != nil {
 		return err
 	}
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -89,16 +89,17 @@
 	catalog *bvcatalog.Catalog
 	router  *bvtoken.Router
 
-	counters *counters
-	socket   *bvtunnel.Socket
-	ready    net.Listener
-	admin    net.Listener
-	control  net.Listener // Nil if no balancer may follow this one.
-	stopping atomic.Bool
-	lastIn   atomic.Int64 // Nanoseconds since started at which packets came last.
-	started  time.Time
-	complete chan struct{} // Closed when the catalog is complete.
-	changed  chan struct{} // Closed at the next change of the catalog; guarded by mu.
+	counters  *counters
+	decisions *decisionLog
+	socket    *bvtunnel.Socket
+	ready     net.Listener
+	admin     net.Listener
+	control   net.Listener // Nil if no balancer may follow this one.
+	stopping  atomic.Bool
+	lastIn    atomic.Int64 // Nanoseconds since started at which packets came last.
+	started   time.Time
+	complete  chan struct{} // Closed when the catalog is complete.
+	changed   chan struct{} // Closed at the next change of the catalog; guarded by mu.
 }
 
 // New opens the sockets.
@@ -111,7 +112,8 @@
 			Zone: s.Zone, ColdBalancers: s.Limits.ColdBalancers,
 			ColdFactor: s.Limits.ColdFactor, ColdSlack: s.Limits.ColdSlack,
 		}, catalog),
-		counters: newCounters(m.Scope),
+		counters:  newCounters(m.Scope),
+		decisions: newDecisionLog(log, clock, m.Scope),
 	}
 	if err := w.listen(); err != nil {
 		w.close()
@@ -230,6 +232,7 @@
 		w.catalog.Tick(now)
 		w.gauge(now)
 		w.mu.Unlock()
+		w.decisions.tell(now)
 	}
 }
 
--- a/io/bvforwarder/loop.go
+++ b/io/bvforwarder/loop.go
@@ -46,19 +46,20 @@
 	for i := range l.items {
 		l.items[i].decision = w.router.Route(now, l.items[i].packet)
 	}
+	s := state{age: w.catalog.Age(now), revision: int64(w.catalog.Revision()), version: w.catalog.Version()}
 	w.mu.Unlock()
 	for i := range l.items {
-		l.execute(&l.items[i])
+		l.execute(&l.items[i], s)
 	}
 	if n := w.socket.Write(l.out); n > 0 {
 		w.counters.sendFailed.Inc(int64(n))
 	}
 }
 
-func (l *loop) execute(it *item) {
+func (l *loop) execute(it *item, s state) {
 	w, d := l.forwarder, it.decision
 	w.counters.reason(d.Verdict, d.Reason)
-	w.logDecision(it)
+	w.decisions.decided(it, s)
 	switch d.Verdict {
 	case bvtoken.VerdictForward:
 		l.out.Add(w.codec.AppendForward(l.out.Buffer(), it.raw, d), d.Address)
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"balsamvane/core/bvcatalog"
-	"balsamvane/core/bvflow"
-	"balsamvane/core/bvtoken"
 	"balsamvane/io/bvadmin"
 	"balsamvane/io/bvfollower"
 
@@ -79,26 +77,6 @@
 	}
 }
 
-// logDecision writes a line for a decision that a caller may ask about. Lines
-// of one kind are cut to a few in each period by the logger.
-func (w *Forwarder) logDecision(it *item) {
-	d, p := it.decision, it.packet
-	opening := p.Phase == bvflow.PhaseOpening
-	var message string
-	switch {
-	case d.Verdict == bvtoken.VerdictReset:
-		message = "flow reset"
-	case d.Verdict == bvtoken.VerdictDrop && opening:
-		message = "opening dropped"
-	case d.Verdict == bvtoken.VerdictDrop:
-		message = "packet dropped"
-	default:
-		return
-	}
-	w.log.Info(message, zap.Stringer("source", p.Source), zap.Stringer("destination", p.Destination),
-		zap.Uint32("token", uint32(p.Token)), zap.Stringer("reason", d.Reason))
-}
-
 // isReady reports whether the balancer should get packets.
 func (w *Forwarder) isReady() bool {
 	if w.stopping.Load() {
