--- /dev/null
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -0,0 +1,283 @@
+package bvforwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvfinding"
+	"balsamvane/core/bvflow"
+	"balsamvane/core/bvtoken"
+	"balsamvane/io/bvadmin"
+	"balsamvane/io/bvfollower"
+	"balsamvane/io/bvrelay"
+	"balsamvane/io/bvsettings"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// codec is a codec of one-byte packets: the first byte tells the phase.
+type codec struct{}
+
+var errCodec = errors.New("malformed")
+
+const (
+	byteOpening = 'o'
+	byteReset   = 'r'
+)
+
+var route = netip.MustParseAddrPort("198.51.100.1:80")
+
+func (codec) Decode(b []byte) (bvtoken.Packet, error) {
+	if len(b) != 2 || b[0] != byteOpening {
+		return bvtoken.Packet{}, errCodec
+	}
+	return bvtoken.Packet{Packet: bvflow.Packet{
+		Tuple: bvflow.Tuple{
+			Source: netip.AddrPortFrom(loopback, 1000+uint16(b[1])), Destination: route, Protocol: bvflow.ProtocolTCP,
+		},
+		Phase: bvflow.PhaseOpening,
+	}}, nil
+}
+
+func (codec) AppendForward(out, packet []byte, _ bvtoken.Decision) []byte {
+	return append(out, packet...)
+}
+
+func (codec) AppendReset(out []byte, t bvflow.Tuple, _ bvtoken.Decision) []byte {
+	return append(out, byteReset, byte(t.Source.Port()-1000))
+}
+
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+// fakeStore answers with what the test has set.
+type fakeStore struct {
+	mu      sync.Mutex
+	listing bvfollower.Listing
+	err     error
+}
+
+func (s *fakeStore) set(l bvfollower.Listing, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listing, s.err = l, err
+}
+
+func (s *fakeStore) List(context.Context) (bvfollower.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listing, s.err
+}
+
+func (s *fakeStore) Watch(ctx context.Context, after bvcatalog.Revision, _ time.Duration) (bvfollower.Listing, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(5 * time.Millisecond):
+	}
+	return bvfollower.Listing{Revision: after}, ctx.Err()
+}
+
+func (s *fakeStore) Disconnect() {}
+
+// fixture is a running forwarder with one upstream.
+type fixture struct {
+	t         *testing.T
+	forwarder *Forwarder
+	store     *fakeStore
+	upstream  *net.UDPConn
+	caller    *net.UDPConn
+	stop      context.CancelFunc
+	done      chan error
+	logs      *observer.ObservedLogs
+}
+
+func listenUDP(t *testing.T) *net.UDPConn {
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(loopback, 0)))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func portOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+func newFixture(t *testing.T, o Options) *fixture {
+	core, logs := observer.New(zapcore.InfoLevel)
+	f := &fixture{t: t, store: &fakeStore{err: errors.New("down")}, upstream: listenUDP(t), caller: listenUDP(t), logs: logs}
+	zero := netip.AddrPortFrom(loopback, 0)
+	s := bvsettings.Default()
+	s.Node, s.Zone, s.Timeouts.Stop = "entry-1", "zone-a", 5*time.Second
+	s.Listen = bvsettings.Listen{Fabric: zero, Admin: zero, Ready: zero, Control: zero}
+	clock := clockwork.NewRealClock()
+	follower := bvfollower.New([]bvfollower.Source{{Name: "store", Store: f.store, Direct: true}}, clock, zap.New(core), bvfollower.Options{})
+	var err error
+	f.forwarder, err = New(s, clock, zap.New(core), bvadmin.NewMetrics(), codec{}, follower, o)
+	require.NoError(t, err)
+	var ctx context.Context
+	ctx, f.stop = context.WithCancel(context.Background())
+	f.done = make(chan error, 1)
+	go func() { f.done <- f.forwarder.Run(ctx) }()
+	t.Cleanup(f.end)
+	return f
+}
+
+func (f *fixture) end() {
+	f.stop()
+	if err, ok := <-f.done; ok {
+		assert.NoError(f.t, err)
+		close(f.done)
+	}
+}
+
+// listing describes the upstream of the fixture.
+func (f *fixture) listing() bvfollower.Listing {
+	return bvfollower.Listing{Revision: 5, Changes: []bvcatalog.Change{
+		bvcatalog.Declared{Version: 3, Routes: []bvcatalog.Route{{
+			Address: route, Backends: []bvcatalog.Backend{{Service: "desk", Weight: 1}},
+		}}},
+		bvcatalog.UpstreamPut{Revision: 4, Upstream: bvcatalog.Upstream{
+			ID: 7, Address: f.upstream.LocalAddr().(*net.UDPAddr).AddrPort(), Service: "desk", Zone: "zone-a", Slots: 4,
+		}},
+	}}
+}
+
+func (f *fixture) send(b ...byte) {
+	_, err := f.caller.WriteToUDPAddrPort(b, f.forwarder.socket.Address())
+	require.NoError(f.t, err)
+}
+
+func (f *fixture) receive(c *net.UDPConn) []byte {
+	require.NoError(f.t, c.SetReadDeadline(time.Now().Add(20*time.Second)))
+	b := make([]byte, 100)
+	n, err := c.Read(b)
+	require.NoError(f.t, err)
+	return b[:n]
+}
+
+func (f *fixture) readiness() int {
+	r, err := http.Get("http://" + portOf(f.forwarder.ready).String() + "/ready")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = r.Body.Close() }()
+	return r.StatusCode
+}
+
+func (f *fixture) eventually(ok func() bool) {
+	require.Eventually(f.t, ok, 20*time.Second, 5*time.Millisecond)
+}
+
+// TestWaitsForListing guards against packets that a balancer drops while it
+// reads the first listing, and against callers that are sent to a balancer
+// which knows nothing yet.
+func TestWaitsForListing(t *testing.T) {
+	f := newFixture(t, Options{})
+	f.eventually(func() bool { return f.readiness() == http.StatusServiceUnavailable })
+	f.send(byteOpening, 1)
+	f.store.set(f.listing(), nil)
+	assert.Equal(t, []byte{byteOpening, 1}, f.receive(f.upstream))
+	f.eventually(func() bool { return f.readiness() == http.StatusOK })
+	f.send(0xff)
+	f.send(byteOpening, 2)
+	assert.Equal(t, []byte{byteOpening, 2}, f.receive(f.upstream), "a malformed packet stops nothing")
+}
+
+// TestPlannedStop guards against packets that nobody takes because a process
+// ends before it is out of rotation.
+func TestPlannedStop(t *testing.T) {
+	f := newFixture(t, Options{QuietFor: 200 * time.Millisecond, TickInterval: 20 * time.Millisecond})
+	f.store.set(f.listing(), nil)
+	f.eventually(func() bool { return f.readiness() == http.StatusOK })
+	f.stop()
+	f.eventually(func() bool { return f.readiness() == http.StatusServiceUnavailable })
+	for i := range byte(20) {
+		f.send(byteOpening, i)
+		assert.Equal(t, []byte{byteOpening, i}, f.receive(f.upstream))
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.NoError(t, <-f.done)
+	close(f.done)
+}
+
+// TestMetricsAndDump guards against a process whose state cannot be seen from
+// outside, and against a decision without its line.
+func TestMetricsAndDump(t *testing.T) {
+	f := newFixture(t, Options{})
+	f.store.set(f.listing(), nil)
+	f.send(byteOpening, 1)
+	f.receive(f.upstream)
+	get := func(path string) string {
+		r, err := http.Get("http://" + portOf(f.forwarder.admin).String() + path)
+		require.NoError(t, err)
+		defer func() { _ = r.Body.Close() }()
+		b, err := io.ReadAll(r.Body)
+		require.NoError(t, err)
+		return string(b)
+	}
+	f.eventually(func() bool { return strings.Contains(get("/metrics"), `reason="placed",verdict="forward"} 1`) })
+	assert.Contains(t, get("/metrics"), "balsamvane_packetSeconds")
+	assert.Contains(t, get("/dump"), `"upstreams"`)
+	assert.Contains(t, get("/status"), `"state": "active"`)
+	lines := f.logs.FilterMessage("decision").All()
+	require.Len(t, lines, 1)
+	m := lines[0].ContextMap()
+	assert.Equal(t, "placed", m["reason"])
+	assert.Equal(t, "127.0.0.1:1001", m["source"])
+	assert.EqualValues(t, 7, m["upstream"])
+	assert.EqualValues(t, 3, m["version"])
+}
+
+// TestRelay guards against followers that do not get what this balancer knows.
+func TestRelay(t *testing.T) {
+	f := newFixture(t, Options{})
+	f.store.set(f.listing(), nil)
+	c := bvrelay.NewClient(portOf(f.forwarder.control))
+	f.eventually(func() bool {
+		l, err := c.List(context.Background())
+		return err == nil && len(l.Changes) == 2 && l.Revision == 5
+	})
+	l, err := c.Watch(context.Background(), 5, 0)
+	require.NoError(t, err)
+	assert.Less(t, l.Age, 10*time.Second)
+}
+
+// TestReload guards against faulty settings that are taken over, and against
+// new seeds that are not.
+func TestReload(t *testing.T) {
+	f := newFixture(t, Options{})
+	var applied []bvsettings.Settings
+	faulty := false
+	f.forwarder.options.Reload = Reload{
+		Load: func() (bvsettings.Settings, bvfinding.List) {
+			s := f.forwarder.settings
+			s.Seeds = []netip.AddrPort{route}
+			var l bvfinding.List
+			if faulty {
+				l.Add(bvfinding.Place{File: "settings.yaml"}, "unknown setting", "")
+			}
+			return s, l
+		},
+		Apply: func(s bvsettings.Settings) { applied = append(applied, s) },
+	}
+	faulty = true
+	f.forwarder.reload(true)
+	assert.Empty(t, applied)
+	faulty = false
+	f.forwarder.reload(false)
+	f.forwarder.reload(true)
+	require.Len(t, applied, 1, "settings that have not changed are not applied again")
+	assert.Equal(t, []netip.AddrPort{route}, applied[0].Seeds)
+	assert.Len(t, f.logs.FilterMessage("settings are faulty; those before stay in force").All(), 1)
+}
--- a/io/bvforwarder/counters.go
+++ b/io/bvforwarder/counters.go
@@ -12,15 +12,21 @@
 type counters struct {
 	verdicts   map[bvtoken.Verdict][]tally.Counter
 	sendFailed tally.Counter
-	age        tally.Gauge
-	version    tally.Gauge
-	revision   tally.Gauge
+	// seconds is the time from the end of a read to the end of the write of a
+	// batch; batch is its number of packets.
+	seconds  tally.Histogram
+	batch    tally.Histogram
+	age      tally.Gauge
+	version  tally.Gauge
+	revision tally.Gauge
 }
 
 func newCounters(s tally.Scope) *counters {
 	c := &counters{
 		verdicts:   map[bvtoken.Verdict][]tally.Counter{},
 		sendFailed: s.Counter("sendFailed"),
+		seconds:    s.Histogram("packetSeconds", tally.MustMakeExponentialDurationBuckets(10*time.Microsecond, 4, 9)),
+		batch:      s.Histogram("batchPackets", tally.MustMakeExponentialValueBuckets(1, 2, 6)),
 		age:        s.Gauge("catalogAgeSeconds"),
 		version:    s.Gauge("configurationVersion"),
 		revision:   s.Gauge("catalogRevision"),
--- a/io/bvforwarder/loop.go
+++ b/io/bvforwarder/loop.go
@@ -54,6 +54,8 @@
 	if n := w.socket.Write(l.out); n > 0 {
 		w.counters.sendFailed.Inc(int64(n))
 	}
+	w.counters.batch.RecordValue(float64(l.in.Len()))
+	w.counters.seconds.RecordDuration(w.clock.Since(now))
 }
 
 func (l *loop) execute(it *item, s state) {
--- a/io/bvsettings/bvsettings_test.go
+++ b/io/bvsettings/bvsettings_test.go
@@ -117,3 +117,33 @@
 	f.Add([]byte(minimal))
 	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = Parse("f", b) })
 }
+
+const minimalToken = `node: vm-1
+zone: a
+encapsulation: token
+seeds: ["127.0.0.1:3"]
+listen: {fabric: "127.0.0.1:1", ready: "127.0.0.1:2", control: "127.0.0.1:3"}
+platform: {addresses: ["127.0.0.1:5"]}
+limits: {coldBalancers: 8, coldFactor: 1.5, coldSlack: 0}
+`
+
+// TestTokenSettings guards against settings of the other encapsulation that
+// are asked for, and against ones of this encapsulation that may be missing.
+func TestTokenSettings(t *testing.T) {
+	s, l := Parse("s.yaml", []byte(minimalToken))
+	require.NoError(t, l.Err())
+	assert.Equal(t, EncapsulationToken, s.Encapsulation)
+	assert.Equal(t, netip.MustParseAddrPort("127.0.0.1:2"), s.Listen.Ready)
+	assert.Equal(t, 8, s.Limits.ColdBalancers)
+	assert.Equal(t, 1.5, s.Limits.ColdFactor)
+	assert.Zero(t, s.Limits.ColdSlack)
+	for bad, problem := range map[string]string{
+		strings.Replace(minimalToken, `ready: "127.0.0.1:2", `, "", 1): `setting "listen.ready" is missing`,
+		strings.Replace(minimalToken, "token", "tunnel", 1):            "encapsulation is none of geneve, token",
+		strings.Replace(minimalToken, "1.5", "-1", 1):                  "limits.coldFactor: value is not a number from 0",
+		strings.Replace(minimalToken, "1.5", ".nan", 1):                "limits.coldFactor: value is not a number from 0",
+	} {
+		_, l := Parse("s.yaml", []byte(bad))
+		assert.ErrorContains(t, l.Err(), problem)
+	}
+}
