Reset flows whose token stands for an upstream that left before the start

Change: a token that stays unknown after the platform has confirmed the catalog, past the settle time, is answered with a reset; unreadable entries are remembered.

Ruled out: a reset at once, since another balancer may know a newer upstream.

--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -56,19 +56,22 @@
 
 // Catalog is what is known of the platform. It is not safe for concurrent use.
 type Catalog struct {
-	options    Options
-	version    uint64
-	declared   bool
-	routes     map[netip.AddrPort]Route
-	limits     map[string]ServiceLimits
-	zonesOut   map[string]bool
-	entries    map[bvconfig.UpstreamID]*Entry
-	tokens     map[Token]*Entry
-	services   map[string]*Service
-	revision   Revision
-	listed     bool
-	contact    time.Time // Last answer of the platform.
-	settled    time.Time // End of the settle time after the last outage.
+	options  Options
+	version  uint64
+	declared bool
+	routes   map[netip.AddrPort]Route
+	limits   map[string]ServiceLimits
+	zonesOut map[string]bool
+	entries  map[bvconfig.UpstreamID]*Entry
+	tokens   map[Token]*Entry
+	services map[string]*Service
+	revision Revision
+	listed   bool
+	contact  time.Time // Last answer of the platform.
+	settled  time.Time // End of the settle time after the last outage.
+	// complete is the end of the settle time after the first listing, before
+	// which the platform may have been out of reach.
+	complete   time.Time
 	generation uint64
 	history    history
 }
@@ -99,6 +102,12 @@
 // Age returns the time since the platform answered.
 func (c *Catalog) Age(now time.Time) time.Duration { return now.Sub(c.contact) }
 
+// Confirmed reports whether the platform has confirmed the catalog after t, at
+// a time at which no live upstream's entry was missing.
+func (c *Catalog) Confirmed(t time.Time) bool {
+	return c.listed && c.contact.After(t) && !c.contact.Before(c.settled) && !c.contact.Before(c.complete)
+}
+
 // Route returns the route of an address.
 func (c *Catalog) Route(a netip.AddrPort) (Route, bool) {
 	r, ok := c.routes[a]
@@ -177,7 +186,9 @@
 		c.zonesOut = zones
 	}
 	c.revision = max(c.revision, r)
-	c.listed = true
+	if !c.listed {
+		c.listed, c.complete = true, now.Add(c.options.Settle)
+	}
 	c.history.reset(c.revision)
 	c.rebuild()
 }
@@ -229,7 +240,14 @@
 			c.remove(now, e, v.Revision)
 		}
 	case UpstreamUnreadable:
-		if e := c.entries[v.ID]; e != nil && v.Revision > e.revision {
+		e := c.entries[v.ID]
+		if e == nil {
+			// The upstream may hold flows, but nothing tells where it is.
+			e = &Entry{Token: TokenOf(v.ID), Since: now}
+			e.ID = v.ID
+			c.entries[v.ID] = e
+		}
+		if v.Revision > e.revision {
 			e.unusable, e.revision = true, v.Revision
 		}
 	}
@@ -288,7 +306,7 @@
 	for _, id := range sortedIDs(c.entries) {
 		e := c.entries[id]
 		c.index(e)
-		if e.gone {
+		if e.gone || e.Service == "" {
 			continue
 		}
 		s := c.services[e.Service]
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -147,6 +147,7 @@
 	services   map[string]*serviceTargets
 	pending    pending
 	requests   requests
+	unknowns   map[bvcatalog.Token]time.Time // When a token without upstream was seen first.
 	placement  uint64
 	evidence   evidence
 }
@@ -160,6 +161,7 @@
 		limiter: bvlimit.New(bvlimit.Options{EjectFraction: 1}),
 		hasher:  bvflow.NewHasher(o.Seed),
 		targets: map[bvconfig.UpstreamID]*target{}, services: map[string]*serviceTargets{},
-		pending: newPending(o.MaxPending), requests: newRequests(o.MaxPending),
+		unknowns: map[bvcatalog.Token]time.Time{},
+		pending:  newPending(o.MaxPending), requests: newRequests(o.MaxPending),
 	}
 }
--- a/core/bvtoken/reason.go
+++ b/core/bvtoken/reason.go
@@ -18,13 +18,14 @@
 	ReasonNoToken                      // A packet of an open flow without a token.
 	ReasonUpstreamGone                 // The upstream has left.
 	ReasonUpstreamSilent               // The upstream does not acknowledge packets, while others do.
+	ReasonUnreadable                   // The upstream's entry cannot be read, so its address is not known.
 	ReasonMalformed                    // The packet cannot be read.
 	numReasons
 )
 
 var reasonNames = [numReasons]string{
 	"placed", "placedFarther", "placedAgain", "placedSilent", "token", "incomplete", "noRoute", "noUpstream",
-	"coldBudget", "unknownToken", "noToken", "upstreamGone", "upstreamSilent", "malformed",
+	"coldBudget", "unknownToken", "noToken", "upstreamGone", "upstreamSilent", "unreadable", "malformed",
 }
 
 // String returns the reason as a word in camel case.
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -31,7 +31,10 @@
 	}
 	e := r.catalog.ByToken(p.Token)
 	if e == nil {
-		return Decision{Verdict: VerdictDrop, Reason: ReasonUnknownToken}
+		return r.unknown(now, p)
+	}
+	if !e.Address.IsValid() {
+		return Decision{Verdict: VerdictDrop, Reason: ReasonUnreadable}
 	}
 	if e.Gone() {
 		return r.reset(p, ReasonUpstreamGone)
@@ -47,6 +50,28 @@
 	return forward(e, ReasonToken)
 }
 
+// unknown decides on a packet whose token no upstream has. Another balancer
+// may have heard of a new upstream first; but if the platform confirms later
+// that there is none, the upstream has left and the flow has ended.
+func (r *Router) unknown(now time.Time, p Packet) Decision {
+	first, ok := r.unknowns[p.Token]
+	if !ok {
+		if len(r.unknowns) >= maxUnknowns {
+			clear(r.unknowns)
+		}
+		r.unknowns[p.Token] = now
+		return Decision{Verdict: VerdictDrop, Reason: ReasonUnknownToken}
+	}
+	if !r.catalog.Confirmed(first) || !r.fresh(now) {
+		return Decision{Verdict: VerdictDrop, Reason: ReasonUnknownToken}
+	}
+	return r.reset(p, ReasonUnknownToken)
+}
+
+// maxUnknowns bounds the unknown tokens that are remembered. Callers can make
+// up any number of them.
+const maxUnknowns = 1024
+
 // fresh reports whether the catalog is recent enough to show that something
 // does not exist.
 func (r *Router) fresh(now time.Time) bool {
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -125,6 +125,43 @@
 	assert.Equal(t, ReasonIncomplete, d.Reason)
 }
 
+// TestUnknownToken guards against callers that wait until their deadline for
+// an upstream that left before this balancer started, against resets of flows
+// at an upstream that only this balancer has not heard of, and against resets
+// while entries may be missing.
+func TestUnknownToken(t *testing.T) {
+	f := newFixture(11, 12)
+	stray := func(id bvconfig.UpstreamID) *flow {
+		x := f.caller(feeds)
+		x.token = bvcatalog.TokenOf(id)
+		return x
+	}
+	left, news := stray(31), stray(32)
+	assert.Equal(t, VerdictDrop, f.request(left, false).Verdict)
+	f.pass(time.Second)
+	assert.Equal(t, VerdictDrop, f.request(left, true).Verdict, "entries may be missing right after the start")
+	f.pass(3 * time.Second)
+	d := f.request(left, true)
+	assert.Equal(t, VerdictReset, d.Verdict)
+	assert.Equal(t, ReasonUnknownToken, d.Reason)
+
+	assert.Equal(t, VerdictDrop, f.request(news, false).Verdict)
+	assert.Equal(t, VerdictDrop, f.request(news, true).Verdict, "nothing was confirmed since")
+	f.apply(f.entry(32))
+	assert.Equal(t, VerdictForward, f.request(news, true).Verdict)
+
+	spoiled := stray(33)
+	f.apply(bvcatalog.UpstreamUnreadable{Revision: f.revision + 1, ID: 33})
+	for range 5 {
+		assert.Equal(t, VerdictDrop, f.request(spoiled, false).Verdict, "the upstream may live")
+		f.pass(time.Second)
+	}
+	for i := range 3 * maxUnknowns {
+		f.request(stray(bvconfig.UpstreamID(1000+i)), false)
+	}
+	assert.LessOrEqual(t, len(f.router.unknowns), maxUnknowns)
+}
+
 // TestResetSequence guards against resets that the caller ignores: they carry
 // the number that it has acknowledged.
 func TestResetSequence(t *testing.T) {
