--- a/core/bvcatalog/history.go
+++ b/core/bvcatalog/history.go
@@ -1,6 +1,7 @@
 package bvcatalog
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -59,9 +60,7 @@
 	var cs []Change
 	if c.declared {
 		d := Declared{Version: c.version, Services: c.Limits()}
-		for _, r := range c.routes {
-			d.Routes = append(d.Routes, r)
-		}
+		d.Routes = slices.SortedFunc(maps.Values(c.routes), func(a, b Route) int { return a.Address.Compare(b.Address) })
 		cs = append(cs, d)
 	}
 	for _, z := range c.ZonesOut() {
