--- /dev/null
+++ b/cmd/balsamvane/explain.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"balsamvane/core/bvtoken"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+)
+
+// explainWindow is how long before the first decision on a flow lines about
+// its upstream and the configuration still matter.
+const explainWindow = 10 * time.Second
+
+// maxLogLine bounds a line of a log in bytes.
+const maxLogLine = 1 << 20
+
+// newExplainCommand returns the command that finds in saved logs what happened
+// to a flow.
+func newExplainCommand() *cobra.Command {
+	var flow string
+	c := &cobra.Command{
+		Use:   "explain --flow CALLER [FILE...]",
+		Short: "Find in saved logs what happened to a flow, and why",
+		Long: "Find in saved logs of one or more balancers what happened to the flow of a caller's\n" +
+			"address and port. Lines may have other text before their JSON. Without a file the\n" +
+			"logs are read from standard input.",
+		RunE: func(c *cobra.Command, files []string) error {
+			caller, err := netip.ParseAddrPort(flow)
+			if err != nil {
+				return eris.Errorf("balsamvane: --flow %q is not the address and port of a caller", flow)
+			}
+			lines, err := readLogs(c.InOrStdin(), files)
+			if err != nil {
+				return err
+			}
+			return explain(c.OutOrStdout(), caller, lines)
+		},
+	}
+	c.Flags().StringVar(&flow, "flow", "", "the caller's address and port, such as 203.0.113.7:51234")
+	return c
+}
+
+// logLine is a line of a balancer's log, as far as explain needs it.
+type logLine struct {
+	Time        time.Time `json:"ts"`
+	Message     string    `json:"msg"`
+	Node        string    `json:"node"`
+	Source      string    `json:"source"`
+	Destination string    `json:"destination"`
+	Opening     bool      `json:"opening"`
+	Verdict     string    `json:"verdict"`
+	Reason      string    `json:"reason"`
+	Upstream    uint64    `json:"upstream"`
+	CatalogAge  string    `json:"catalogAge"`
+	Version     uint64    `json:"version"`
+	raw         []byte
+}
+
+// readLogs returns the lines of all files in the order of their times. Lines
+// without JSON are passed over.
+func readLogs(in io.Reader, files []string) ([]logLine, error) {
+	var out []logLine
+	if len(files) == 0 {
+		return sortLines(scanLog(in, out))
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, eris.Wrap(err, "balsamvane: reading logs")
+		}
+		out, err = scanLog(f, out)
+		_ = f.Close()
+		if err != nil {
+			return nil, err
+		}
+	}
+	return sortLines(out, nil)
+}
+
+func sortLines(lines []logLine, err error) ([]logLine, error) {
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	return lines, err
+}
+
+func scanLog(r io.Reader, out []logLine) ([]logLine, error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLogLine)
+	for s.Scan() {
+		i := bytes.IndexByte(s.Bytes(), '{')
+		if i < 0 {
+			continue
+		}
+		l := logLine{raw: bytes.Clone(s.Bytes())}
+		if json.Unmarshal(l.raw[i:], &l) == nil && l.Message != "" {
+			out = append(out, l)
+		}
+	}
+	return out, eris.Wrap(s.Err(), "balsamvane: reading logs")
+}
+
+// explain writes the lines that matter for a caller's flow, and the conclusion.
+func explain(w io.Writer, caller netip.AddrPort, lines []logLine) error {
+	var decisions []logLine
+	for _, l := range lines {
+		if l.Message == "decision" && l.Source == caller.String() {
+			decisions = append(decisions, l)
+		}
+	}
+	if len(decisions) == 0 {
+		_, err := fmt.Fprintf(w, "No decision on a flow of %s. It reached no balancer whose log is here, or its line was left out: look for \"lines left out\".\n", caller)
+		return err
+	}
+	first, last := decisions[0], decisions[len(decisions)-1]
+	upstreams, nodes := map[uint64]bool{}, map[string]bool{}
+	for _, d := range decisions {
+		upstreams[d.Upstream] = d.Upstream != 0
+		nodes[d.Node] = true
+	}
+	for _, l := range lines {
+		if l.Time.Before(first.Time.Add(-explainWindow)) || l.Time.After(last.Time.Add(explainWindow)) {
+			continue
+		}
+		if l.Message == "decision" && l.Source == caller.String() || nodes[l.Node] && concerns(l, upstreams) {
+			if _, err := fmt.Fprintf(w, "%s\n", l.raw); err != nil {
+				return err
+			}
+		}
+	}
+	_, err := fmt.Fprintf(w, "\nThe last decision on %s to %s: %s, since %s. It was made with version %d of the configuration and a catalog that the store had confirmed %s before.\n",
+		caller, last.Destination, last.Verdict, conclusion(last.Reason), last.Version, last.CatalogAge)
+	return err
+}
+
+// concerns reports whether a line changes what a balancer believes of the
+// flow's upstreams or of the platform.
+func concerns(l logLine, upstreams map[uint64]bool) bool {
+	switch l.Message {
+	case "upstream changed", "upstream gone":
+		return upstreams[l.Upstream]
+	case "zone taken out of service", "zone back in service", "configuration in force", "source does not answer",
+		"following source", "balancer started", "stop requested", "balancer stopped", "catalog listed":
+		return true
+	}
+	return false
+}
+
+// conclusion returns what a reason means.
+func conclusion(reason string) string {
+	for _, r := range bvtoken.Reasons() {
+		if r.String() == reason {
+			return r.Explanation()
+		}
+	}
+	return "of an unknown reason (" + reason + ")"
+}
--- a/cmd/balsamvane/main.go
+++ b/cmd/balsamvane/main.go
@@ -37,7 +37,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	c.AddCommand(newRun(), newVersion(), newImportCommand(), newDiffCommand(), newDumpCommand(), newStatusCommand(),
+	c.AddCommand(newRun(), newVersion(), newImportCommand(), newDiffCommand(), newDumpCommand(), newStatusCommand(), newExplainCommand(),
 		newCheckCommand(func(path string) bvfinding.List {
 			_, findings := bvsettings.Load(path)
 			return findings
--- a/cmd/balsamvane/run.go
+++ b/cmd/balsamvane/run.go
@@ -74,7 +74,7 @@
 		return err
 	}
 	defer log.Close()
-	b, err := newBalancer(path, s, clock, log.Logger)
+	b, err := newBalancer(path, s, clock, log.With(zap.String("node", s.Node)))
 	if err != nil {
 		return err
 	}
--- a/core/bvtoken/reason.go
+++ b/core/bvtoken/reason.go
@@ -44,3 +44,29 @@
 	}
 	return out
 }
+
+var explanations = [numReasons]string{
+	"this was the best upstream for a new flow",
+	"an upstream in another zone was better by more than the cost of that",
+	"the caller repeated its opening, so another upstream got it",
+	"no upstream had answered openings lately, and this one was tried all the same",
+	"the token in the packet names the upstream",
+	"the balancer had not read the store yet",
+	"no route had the address",
+	"the service had no upstream that takes new flows",
+	"all upstreams that take new flows were cold and had got this balancer's share",
+	"no upstream had the token",
+	"the packet belonged to no opening and had no token",
+	"the upstream had left, so the flow had ended",
+	"the upstream did not acknowledge packets while others did, and the request may be repeated",
+	"the upstream's entry could not be read, so its address was not known",
+	"the packet could not be read",
+}
+
+// Explanation returns what the reason means, as the end of a sentence.
+func (r Reason) Explanation() string {
+	if r < numReasons {
+		return explanations[r]
+	}
+	return "of an unknown reason"
+}
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -37,7 +37,7 @@
 		return Decision{Verdict: VerdictDrop, Reason: ReasonUnreadable}
 	}
 	if e.Gone() {
-		return r.reset(p, ReasonUpstreamGone)
+		return r.resetFrom(e, p, ReasonUpstreamGone)
 	}
 	t := r.targets[e.ID]
 	r.learn(now, k, t, p)
@@ -45,7 +45,7 @@
 		// Others answer, so the upstream is at fault. The caller can repeat the
 		// request elsewhere, which is better than to wait until its deadline.
 		r.forget(k)
-		return r.reset(p, ReasonUpstreamSilent)
+		return r.resetFrom(e, p, ReasonUpstreamSilent)
 	}
 	return forward(e, ReasonToken)
 }
@@ -91,6 +91,13 @@
 	return Decision{Verdict: VerdictReset, Reason: why, Sequence: p.Acknowledged}
 }
 
+// resetFrom answers a caller whose flow is at an upstream.
+func (r *Router) resetFrom(e *bvcatalog.Entry, p Packet, why Reason) Decision {
+	d := r.reset(p, why)
+	d.Upstream = e.ID
+	return d
+}
+
 // learn takes note of what a packet of an open flow says about its upstream:
 // the caller goes on, so the opening was answered; it acknowledges data, so
 // the request was answered; it repeats data, so the upstream has not
--- a/io/bvdaemon/bvdaemon.go
+++ b/io/bvdaemon/bvdaemon.go
@@ -234,7 +234,7 @@
 		d.tasks.end()
 		return nil
 	})
-	d.log.Info("balancer started", zap.String("node", d.settings.Node), zap.String("zone", d.settings.Zone))
+	d.log.Info("balancer started", zap.String("zone", d.settings.Zone))
 	err := d.tasks.wait()
 	d.closeSockets()
 	d.log.Info("balancer stopped")
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -177,7 +177,7 @@
 		cancel()
 		return nil
 	})
-	w.log.Info("balancer started", zap.String("node", w.settings.Node), zap.String("zone", w.settings.Zone))
+	w.log.Info("balancer started", zap.String("zone", w.settings.Zone))
 	err := p.Wait()
 	w.log.Info("balancer stopped")
 	return err
--- a/io/bvforwarder/decisionlog.go
+++ b/io/bvforwarder/decisionlog.go
@@ -58,11 +58,15 @@
 	if d.Verdict == bvtoken.VerdictForward && !opening || !l.budgets[d.Verdict][d.Reason].Allow() {
 		return
 	}
+	address := zap.Skip()
+	if d.Address.IsValid() {
+		address = zap.Stringer("address", d.Address)
+	}
 	l.log.Info("decision",
 		zap.Stringer("source", p.Source), zap.Stringer("destination", p.Destination),
 		zap.Bool("opening", opening), zap.Uint32("copy", p.Copy), zap.Uint32("callerToken", uint32(p.Token)),
 		zap.Stringer("verdict", d.Verdict), zap.Stringer("reason", d.Reason),
-		zap.Uint32("token", uint32(d.Token)), zap.Uint64("upstream", uint64(d.Upstream)), zap.Stringer("address", d.Address),
+		zap.Uint32("token", uint32(d.Token)), zap.Uint64("upstream", uint64(d.Upstream)), address,
 		zap.Duration("catalogAge", s.age), zap.Int64("revision", s.revision), zap.Uint64("version", s.version))
 }
 
