--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -46,11 +46,19 @@
 	Age time.Duration
 }
 
+// Position is what a follower has already.
+type Position struct {
+	Revision bvcatalog.Revision
+	// Age is how long ago the store answered that this is complete. A source
+	// whose state is clearly more recent answers at once.
+	Age time.Duration
+}
+
 // Store is something to follow. Its calls end with their context. After
 // Disconnect calls use new connections.
 type Store interface {
 	List(ctx context.Context) (Listing, error)
-	Watch(ctx context.Context, after bvcatalog.Revision, wait time.Duration) (Listing, error)
+	Watch(ctx context.Context, after Position, wait time.Duration) (Listing, error)
 	Disconnect()
 }
 
@@ -113,7 +121,9 @@
 	started  bool // A first listing was read.
 	listed   bool
 	revision bvcatalog.Revision
-	current  int // Source of the last answer; -1 if there was none.
+	contact  time.Time // When the store has confirmed the state last.
+	paused   bool      // A pause came before the next call.
+	current  int       // Source of the last answer; -1 if there was none.
 }
 
 // New returns a follower of the sources, the first one preferred.
@@ -171,6 +181,7 @@
 		f.answered(i)
 		if len(l.Changes) > 0 {
 			f.sleep(ctx, f.options.Pause)
+			f.paused = true
 		}
 	}
 	return ctx.Err()
@@ -185,15 +196,20 @@
 			return l, err
 		}
 		f.listed, f.started, f.revision = true, true, l.Revision
+		f.confirmed(l)
 		sink(Listed{Listing: l})
 		return Listing{}, nil
 	}
 	wait := cmp.Or(s.Wait, defaultWait)
+	if f.paused {
+		wait = max(wait-f.options.Pause, 0) // Together they are as long as a wait.
+	}
 	if f.list.Doubtful(i) {
 		wait = 0
 	}
+	f.paused = false
 	l, err := f.call(ctx, wait+f.options.WatchMargin, func(ctx context.Context) (Listing, error) {
-		return s.Store.Watch(ctx, f.revision, wait)
+		return s.Store.Watch(ctx, Position{f.revision, f.clock.Since(f.contact)}, wait)
 	})
 	if errors.Is(err, ErrCompacted) {
 		f.log.Info("source has forgotten the history since the last answer; listing again",
@@ -205,10 +221,18 @@
 		return l, err
 	}
 	f.revision = max(f.revision, l.Revision)
+	f.confirmed(l)
 	sink(Changed{Listing: l})
 	return l, nil
 }
 
+// confirmed takes note of when the store has confirmed an answer.
+func (f *Follower) confirmed(l Listing) {
+	if at := f.clock.Now().Add(-l.Age); at.After(f.contact) {
+		f.contact = at
+	}
+}
+
 // call makes a bounded call. An answer that is too old is a failure, but a
 // listing is used whatever its age: it is better than none.
 func (f *Follower) call(ctx context.Context, limit time.Duration, do func(context.Context) (Listing, error)) (Listing, error) {
--- a/io/bvfollower/bvfollower_test.go
+++ b/io/bvfollower/bvfollower_test.go
@@ -19,6 +19,7 @@
 type call struct {
 	list   bool
 	after  bvcatalog.Revision
+	age    time.Duration
 	wait   time.Duration
 	answer chan<- answer
 }
@@ -55,8 +56,8 @@
 
 func (s *fakeStore) List(ctx context.Context) (Listing, error) { return s.ask(ctx, call{list: true}) }
 
-func (s *fakeStore) Watch(ctx context.Context, after bvcatalog.Revision, wait time.Duration) (Listing, error) {
-	return s.ask(ctx, call{after: after, wait: wait})
+func (s *fakeStore) Watch(ctx context.Context, after Position, wait time.Duration) (Listing, error) {
+	return s.ask(ctx, call{after: after.Revision, age: after.Age, wait: wait})
 }
 
 func (s *fakeStore) Disconnect() {
@@ -131,6 +132,8 @@
 	assert.Equal(t, Changed{Listing{Revision: 8, Changes: changes}}, <-f.events)
 	c = f.next(f.peer)
 	assert.EqualValues(t, 8, c.after)
+	assert.GreaterOrEqual(t, c.age, 300*time.Millisecond, "the age of the last answer after the pause")
+	assert.Less(t, c.wait, defaultWait, "pause and wait together are as long as a wait")
 	c.answer <- answer{listing: Listing{Revision: 7}}
 	<-f.events
 	assert.EqualValues(t, 8, f.next(f.peer).after, "a lagging source does not set the follower back")
--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -82,12 +82,12 @@
 	return s.listing, s.err
 }
 
-func (s *fakeStore) Watch(ctx context.Context, after bvcatalog.Revision, _ time.Duration) (bvfollower.Listing, error) {
+func (s *fakeStore) Watch(ctx context.Context, after bvfollower.Position, _ time.Duration) (bvfollower.Listing, error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(5 * time.Millisecond):
 	}
-	return bvfollower.Listing{Revision: after}, ctx.Err()
+	return bvfollower.Listing{Revision: after.Revision}, ctx.Err()
 }
 
 func (s *fakeStore) Disconnect() {}
@@ -248,7 +248,7 @@
 		l, err := c.List(context.Background())
 		return err == nil && len(l.Changes) == 2 && l.Revision == 5
 	})
-	l, err := c.Watch(context.Background(), 5, 0)
+	l, err := c.Watch(context.Background(), bvfollower.Position{Revision: 5}, 0)
 	require.NoError(t, err)
 	assert.Less(t, l.Age, 10*time.Second)
 }
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -32,9 +32,6 @@
 	case bvfollower.Changed:
 		l := v.Listing
 		w.catalog.Apply(now, l.Age, l.Revision, l.Changes)
-		if len(l.Changes) == 0 {
-			return
-		}
 		w.logChanges(l)
 	}
 	close(w.changed)
--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -31,6 +31,9 @@
 	maxAnswer  = 16 << 20
 	// maxWatches bounds the followers of one balancer.
 	maxWatches = 128
+	// ageGain is by how much a state is more recent than the follower's for an
+	// answer at once.
+	ageGain = 200 * time.Millisecond
 	// maxWait bounds the wait that a follower may ask for.
 	maxWait = 10 * time.Second
 )
@@ -45,6 +48,7 @@
 	After int64  `cbor:"1,keyasint"`
 	List  bool   `cbor:"2,keyasint,omitempty"` // All entries, at once.
 	Wait  uint32 `cbor:"3,keyasint,omitempty"`
+	Age   uint64 `cbor:"4,keyasint,omitempty"` // Of what the follower has.
 }
 
 type watchAnswer struct {
--- a/io/bvrelay/bvrelay_test.go
+++ b/io/bvrelay/bvrelay_test.go
@@ -132,7 +132,7 @@
 	assert.EqualValues(t, 7, l.Revision)
 	assert.Equal(t, allChanges[:1], l.Changes)
 
-	l, err = c.Watch(ctx, 7, 0)
+	l, err = c.Watch(ctx, bvfollower.Position{Revision: 7}, 0)
 	require.NoError(t, err)
 	assert.Empty(t, l.Changes)
 	type result struct {
@@ -141,7 +141,7 @@
 	}
 	waiting := make(chan result, 1)
 	go func() {
-		l, err := c.Watch(ctx, 7, 10*time.Second)
+		l, err := c.Watch(ctx, bvfollower.Position{Revision: 7}, 10*time.Second)
 		waiting <- result{l, err}
 	}()
 	p.update(func(c *bvcatalog.Catalog) { c.Apply(time.Unix(0, 0), 0, 9, allChanges[1:2]) })
@@ -150,7 +150,7 @@
 	assert.Equal(t, allChanges[1:2], r.listing.Changes)
 	assert.EqualValues(t, 9, r.listing.Revision)
 
-	_, err = c.Watch(ctx, 2, 0)
+	_, err = c.Watch(ctx, bvfollower.Position{Revision: 2}, 0)
 	assert.ErrorIs(t, err, bvfollower.ErrCompacted)
 }
 
@@ -163,11 +163,33 @@
 	p.catalog.Replace(time.Unix(0, 0), 0, 7, allChanges[:1])
 	p.age = 5 * time.Second
 	// The clock stands still, so only the age can end the wait.
-	l, err := serve(t, p, clockwork.NewFakeClock()).Watch(ctx, 7, 10*time.Second)
+	l, err := serve(t, p, clockwork.NewFakeClock()).Watch(ctx, bvfollower.Position{Revision: 7}, 10*time.Second)
 	require.NoError(t, err)
 	assert.Equal(t, 5*time.Second, l.Age)
 }
 
+// TestConfirmedStateEndsWatch guards against followers whose state gets older
+// than that of the balancer that they follow by the length of a wait.
+func TestConfirmedStateEndsWatch(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	p := newFakeProvider()
+	p.catalog.Replace(time.Unix(0, 0), 0, 7, allChanges[:1])
+	p.age = time.Second
+	// The clock stands still, so only a more recent state can end the wait.
+	c := serve(t, p, clockwork.NewFakeClock())
+	l, err := c.Watch(ctx, bvfollower.Position{Revision: 7, Age: 2 * time.Second}, 10*time.Second)
+	require.NoError(t, err)
+	assert.Equal(t, time.Second, l.Age, "the state is more recent when the watch starts")
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		p.update(func(*bvcatalog.Catalog) { p.age = 0 })
+	}()
+	l, err = c.Watch(ctx, bvfollower.Position{Revision: 7, Age: time.Second}, 10*time.Second)
+	require.NoError(t, err)
+	assert.Zero(t, l.Age, "the state is confirmed while the watch waits")
+}
+
 // FuzzAnswer guards against a panic for any bytes that a peer sends.
 func FuzzAnswer(f *testing.F) {
 	c := bvcodec.New()
--- a/io/bvrelay/client.go
+++ b/io/bvrelay/client.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"time"
 
-	"balsamvane/core/bvcatalog"
 	"balsamvane/io/bvcodec"
 	"balsamvane/io/bvfollower"
 
@@ -44,8 +43,10 @@
 }
 
 // Watch waits for changes after a revision.
-func (c *Client) Watch(ctx context.Context, after bvcatalog.Revision, wait time.Duration) (bvfollower.Listing, error) {
-	return c.ask(ctx, &watchRequest{After: int64(after), Wait: uint32(wait.Milliseconds())})
+func (c *Client) Watch(ctx context.Context, after bvfollower.Position, wait time.Duration) (bvfollower.Listing, error) {
+	return c.ask(ctx, &watchRequest{
+		After: int64(after.Revision), Wait: uint32(wait.Milliseconds()), Age: milliseconds(after.Age),
+	})
 }
 
 func (c *Client) ask(ctx context.Context, q *watchRequest) (bvfollower.Listing, error) {
--- a/io/bvrelay/server.go
+++ b/io/bvrelay/server.go
@@ -25,7 +25,7 @@
 	// Since returns the changes after a revision; ok is false if they are not
 	// held any more.
 	Since(after bvcatalog.Revision) (l bvfollower.Listing, ok bool)
-	// Changed returns a channel that is closed at the next change.
+	// Changed returns a channel that is closed at the next answer of the store.
 	Changed() <-chan struct{}
 }
 
@@ -82,16 +82,19 @@
 	return connect.NewResponse(encode(l)), nil
 }
 
-// wait returns the changes after a revision as soon as there are some, or none
-// at the end of the wait.
+// wait returns the changes after a revision as soon as there are some, and none
+// when the store has confirmed the state since the follower's, when that is too old, or at the
+// end of the wait. Followers so have a state that is hardly older than this
+// balancer's.
 func (s *Server) wait(ctx context.Context, q *watchRequest) (bvfollower.Listing, bool) {
 	after := bvcatalog.Revision(q.After)
 	end := s.clock.After(min(time.Duration(q.Wait)*time.Millisecond, maxWait))
+	known, started := duration(q.Age), s.clock.Now()
 	for {
 		changed := s.provider.Changed()
 		l, ok := s.provider.Since(after)
 		left := s.maxAge - l.Age
-		if !ok || len(l.Changes) > 0 || left <= 0 {
+		if !ok || len(l.Changes) > 0 || left <= 0 || l.Age+ageGain < known+s.clock.Since(started) {
 			return l, ok
 		}
 		select {
