--- a/io/bvforwarder/counters.go
+++ b/io/bvforwarder/counters.go
@@ -14,8 +14,10 @@
 	sendFailed tally.Counter
 	// seconds is the time from the end of a read to the end of the write of a
 	// batch; batch is its number of packets.
-	seconds  tally.Histogram
-	batch    tally.Histogram
+	seconds tally.Histogram
+	batch   tally.Histogram
+	// lag is how old an answer with changes was when this balancer used it.
+	lag      tally.Histogram
 	age      tally.Gauge
 	version  tally.Gauge
 	revision tally.Gauge
@@ -26,6 +28,7 @@
 		verdicts:   map[bvtoken.Verdict][]tally.Counter{},
 		sendFailed: s.Counter("sendFailed"),
 		seconds:    s.Histogram("packetSeconds", tally.MustMakeExponentialDurationBuckets(10*time.Microsecond, 4, 9)),
+		lag:        s.Histogram("changeLagSeconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 4, 8)),
 		batch:      s.Histogram("batchPackets", tally.MustMakeExponentialValueBuckets(1, 2, 6)),
 		age:        s.Gauge("catalogAgeSeconds"),
 		version:    s.Gauge("configurationVersion"),
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -33,13 +33,15 @@
 		l := v.Listing
 		w.catalog.Apply(now, l.Age, l.Revision, l.Changes)
 		w.logChanges(l)
+		if len(l.Changes) > 0 {
+			w.counters.lag.RecordDuration(l.Age)
+		}
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 	w.announce()
 	if after := w.catalog.Version(); after != before {
-		w.log.Info("configuration in force", zap.Uint64("version", after), zap.Int("routes", w.catalog.Routes()),
-			zap.Any("services", w.catalog.Limits()))
+		w.log.Info("configuration in force", zap.Uint64("version", after), zap.Int("routes", w.catalog.Routes()))
 	}
 }
 
