--- a/io/bvadmin/bvadmin.go
+++ b/io/bvadmin/bvadmin.go
@@ -12,16 +12,15 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"net/url"
 	"time"
 
+	"balsamvane/io/bvhttp"
+
 	prom "github.com/prometheus/client_golang/prometheus"
-	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -86,22 +85,7 @@
 
 // Serve answers requests from l until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	h := &http.Server{
-		Handler:           s.HTTP(),
-		ReadHeaderTimeout: 5 * time.Second,
-		ReadTimeout:       5 * time.Second,
-		WriteTimeout:      30 * time.Second,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    16 << 10,
-		// The default writes lines that are not JSON.
-		ErrorLog: log.New(io.Discard, "", 0),
-	}
-	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
-	defer stop()
-	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "bvadmin: serving")
-	}
-	return nil
+	return bvhttp.Serve(ctx, l, s.HTTP())
 }
 
 func (s *Server) dump(w http.ResponseWriter, r *http.Request) {
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"log"
 	"net/http"
 	"net/url"
-	"time"
 
 	"balsamvane/core/bvcatalog"
 	"balsamvane/io/bvadmin"
 	"balsamvane/io/bvfollower"
+	"balsamvane/io/bvhttp"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 )
 
@@ -88,25 +84,14 @@
 
 // serveReady answers the readiness check until ctx ends.
 func (w *Forwarder) serveReady(ctx context.Context) error {
-	h := &http.Server{
-		ReadHeaderTimeout: 2 * time.Second,
-		// The default writes lines that are not JSON.
-		ErrorLog: log.New(io.Discard, "", 0),
-		Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-			switch {
-			case r.URL.Path != w.options.ReadyPath:
-				rw.WriteHeader(http.StatusNotFound)
-			case !w.isReady():
-				rw.WriteHeader(http.StatusServiceUnavailable)
-			}
-		}),
-	}
-	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
-	defer stop()
-	if err := h.Serve(w.ready); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "bvforwarder: serving readiness")
-	}
-	return nil
+	return bvhttp.Serve(ctx, w.ready, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != w.options.ReadyPath:
+			rw.WriteHeader(http.StatusNotFound)
+		case !w.isReady():
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
 }
 
 func (w *Forwarder) sources() bvadmin.Sources {
--- a/io/bvpeer/server.go
+++ b/io/bvpeer/server.go
@@ -5,8 +5,6 @@
 	"crypto/tls"
 	"encoding/binary"
 	"errors"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"slices"
@@ -15,10 +13,10 @@
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvnode"
 	"balsamvane/io/bvcodec"
+	"balsamvane/io/bvhttp"
 
 	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
-	"github.com/rotisserie/eris"
 )
 
 func appendUint64(b []byte, v uint64) []byte { return binary.BigEndian.AppendUint64(b, v) }
@@ -134,22 +132,7 @@
 	if s.credentials.TLS != nil {
 		l = tls.NewListener(l, s.credentials.TLS.server())
 	}
-	h := &http.Server{
-		Handler:           s.HTTP(),
-		ReadHeaderTimeout: 5 * time.Second,
-		ReadTimeout:       10 * time.Second,
-		WriteTimeout:      30 * time.Second,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    16 << 10,
-		// The default writes a line for each failed handshake.
-		ErrorLog: log.New(io.Discard, "", 0),
-	}
-	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
-	defer stop()
-	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "bvpeer: serving")
-	}
-	return nil
+	return bvhttp.Serve(ctx, l, s.HTTP())
 }
 
 func (s *Server) sync(_ context.Context, r *connect.Request[syncRequest]) (*connect.Response[syncAnswer], error) {
--- a/io/bvrelay/server.go
+++ b/io/bvrelay/server.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"time"
@@ -12,10 +10,10 @@
 	"balsamvane/core/bvcatalog"
 	"balsamvane/io/bvcodec"
 	"balsamvane/io/bvfollower"
+	"balsamvane/io/bvhttp"
 
 	"connectrpc.com/connect"
 	"github.com/jonboulle/clockwork"
-	"github.com/rotisserie/eris"
 )
 
 // Provider gives what followers ask for. It is called from several goroutines.
@@ -48,17 +46,7 @@
 	m := http.NewServeMux()
 	m.Handle(procedureWatch, connect.NewUnaryHandler(procedureWatch, s.watch,
 		connect.WithCodec(bvcodec.New()), connect.WithReadMaxBytes(maxRequest)))
-	h := &http.Server{
-		Handler: m, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 5 * time.Second,
-		// The default writes lines that are not JSON.
-		ErrorLog: log.New(io.Discard, "", 0),
-	}
-	stop := context.AfterFunc(ctx, func() { _ = h.Close() })
-	defer stop()
-	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrap(err, "bvrelay: serving")
-	}
-	return nil
+	return bvhttp.Serve(ctx, l, m)
 }
 
 func (s *Server) watch(ctx context.Context, r *connect.Request[watchRequest]) (*connect.Response[watchAnswer], error) {
