--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -27,8 +27,6 @@
 	Token Token
 	// ColdUntil is when the upstream stops being cold.
 	ColdUntil time.Time
-	// Since is when the entry was seen first.
-	Since time.Time
 
 	revision Revision // Of the last change.
 	missing  bool     // The entry is removed, perhaps only expired.
@@ -243,7 +241,7 @@
 		e := c.entries[v.ID]
 		if e == nil {
 			// The upstream may hold flows, but nothing tells where it is.
-			e = &Entry{Token: TokenOf(v.ID), Since: now}
+			e = &Entry{Token: TokenOf(v.ID)}
 			e.ID = v.ID
 			c.entries[v.ID] = e
 		}
@@ -276,7 +274,7 @@
 		return
 	}
 	if e == nil || e.gone {
-		e = &Entry{Token: TokenOf(u.ID), Since: now}
+		e = &Entry{Token: TokenOf(u.ID)}
 		c.entries[u.ID] = e
 	}
 	e.Upstream, e.revision = u, r
--- a/io/bvforwarder/dump.go
+++ b/io/bvforwarder/dump.go
@@ -1,21 +1,26 @@
 package bvforwarder
 
 import (
+	"errors"
+	"net/url"
+	"slices"
+	"strconv"
 	"time"
 
 	"balsamvane/core/bvtoken"
 )
 
-// status is the short state of a forwarder.
+// status is the short state of a forwarder. Fields that Geneve balancers have
+// too are named alike, so that one command reads both.
 type status struct {
-	Node     string   `json:"node"`
-	Zone     string   `json:"zone"`
-	State    string   `json:"state"`
-	Version  uint64   `json:"version"`
-	Revision int64    `json:"revision"`
-	Age      string   `json:"age"`
-	Routes   int      `json:"routes"`
-	ZonesOut []string `json:"zonesOut"`
+	Node          string   `json:"node"`
+	Zone          string   `json:"zone"`
+	State         string   `json:"state"`
+	Revision      uint64   `json:"revision"` // Version of the configuration.
+	StoreRevision int64    `json:"storeRevision"`
+	PlatformAge   string   `json:"platformAge,omitempty"` // Absent before the first listing.
+	Routes        int      `json:"routes"`
+	ZonesOut      []string `json:"zonesOut,omitempty"`
 }
 
 // dump is the whole state of a forwarder.
@@ -24,30 +29,43 @@
 	Upstreams []bvtoken.UpstreamDump `json:"upstreams"`
 }
 
+// errNoFlows is the answer to a question about one flow.
+var errNoFlows = errors.New("bvforwarder: flows are not remembered; use balsamvane explain with the logs")
+
 func (w *Forwarder) status() status {
 	ready := w.isReady()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	now := w.clock.Now()
 	s := status{
-		Node: w.settings.Node, Zone: w.settings.Zone, State: "starting",
-		Version: w.catalog.Version(), Revision: int64(w.catalog.Revision()),
-		Age: w.catalog.Age(now).Round(time.Millisecond).String(), Routes: w.catalog.Routes(), ZonesOut: w.catalog.ZonesOut(),
+		Node: w.settings.Node, Zone: w.settings.Zone, State: "joining",
+		Revision: w.catalog.Version(), StoreRevision: int64(w.catalog.Revision()),
+		Routes: w.catalog.Routes(), ZonesOut: w.catalog.ZonesOut(),
+	}
+	if w.catalog.Complete() {
+		s.PlatformAge = w.catalog.Age(w.clock.Now()).Round(time.Millisecond).String()
+		s.State = "isolated"
 	}
 	switch {
 	case w.stopping.Load():
 		s.State = "leaving"
 	case ready:
 		s.State = "active"
-	case w.catalog.Complete():
-		s.State = "isolated"
 	}
 	return s
 }
 
-func (w *Forwarder) dump() dump {
+// dump answers the dump endpoint: the whole state, or that of one service's
+// upstreams or of one upstream, which is named by its ID.
+func (w *Forwarder) dump(q url.Values) (any, error) {
+	if q.Get("flow") != "" {
+		return nil, errNoFlows
+	}
 	s := w.status()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return dump{status: s, Upstreams: w.router.Dump(w.clock.Now())}
+	service, id := q.Get("service"), q.Get("vm")
+	us := slices.DeleteFunc(w.router.Dump(w.clock.Now()), func(u bvtoken.UpstreamDump) bool {
+		return service != "" && u.Service != service || id != "" && strconv.FormatUint(uint64(u.ID), 10) != id
+	})
+	return dump{status: s, Upstreams: us}, nil
 }
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 
 	"balsamvane/core/bvcatalog"
 	"balsamvane/io/bvadmin"
@@ -96,7 +95,7 @@
 
 func (w *Forwarder) sources() bvadmin.Sources {
 	return bvadmin.Sources{
-		Dump:   func(url.Values) (any, error) { return w.dump(), nil },
+		Dump:   w.dump,
 		Status: func() any { return w.status() },
 		Ready:  w.isReady,
 	}
