Reset flows at silent upstreams of the own zone only; count unanswered requests as slow

Change: dead means silent in the own zone while another upstream there answers; a request that ends without an answer is measured with the time until then.

--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -150,6 +150,7 @@
 	unknowns   map[bvcatalog.Token]time.Time // When a token without upstream was seen first.
 	placement  uint64
 	evidence   evidence
+	zoneAnswer time.Time // Last answer of an upstream in the own zone.
 }
 
 // New returns a router that decides by the catalog, which its user keeps up to
--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -41,15 +41,7 @@
 )
 
 // evidence is what all upstreams together say about this balancer's own links.
-type evidence struct {
-	signs
-	lastAnswer time.Time
-}
-
-func (e *evidence) answered(now time.Time) {
-	e.signs.answered()
-	e.lastAnswer = now
-}
+type evidence struct{ signs }
 
 func (e *evidence) isolated(now time.Time) bool {
 	return e.missed >= isolatedMin && e.last.Sub(e.first) >= isolatedAfter && now.Sub(e.last) < isolatedFor
--- a/core/bvtoken/place_test.go
+++ b/core/bvtoken/place_test.go
@@ -150,6 +150,43 @@
 	assert.Greater(t, share(overloaded), 0.5, "the upstream in the own zone is overloaded")
 }
 
+// TestGreyUpstream guards against an upstream that keeps its share of new flows
+// although it leaves most of its requests without an answer: pattern of a
+// balancer that sends each of many upstreams less than a request a second, of
+// which one hangs or drops requests while it answers openings.
+func TestGreyUpstream(t *testing.T) {
+	const upstreams, flows = 30, 3000
+	for _, says := range []bool{true, false} {
+		var ids []bvconfig.UpstreamID
+		for i := range upstreams {
+			ids = append(ids, bvconfig.UpstreamID(1040+26*10*i)) // All in zone-a.
+		}
+		f := newFixture(ids...)
+		n := 0
+		var hanging []*flow
+		for i := range flows {
+			x := f.caller(tickets)
+			f.open(x)
+			f.request(x, false)
+			if x.upstream == ids[0] && i >= flows/2 {
+				n++
+			}
+			f.pass(60 * time.Millisecond)
+			if x.upstream == ids[0] && i%10 != 0 {
+				hanging = append(hanging, x)
+			} else {
+				f.answer(x)
+			}
+			if says && len(hanging) > 2 { // The caller gives up.
+				f.router.Route(f.now, hanging[0].packet(bvflow.PhaseClosing, 0))
+				hanging = hanging[1:]
+			}
+		}
+		assert.Less(t, n, flows/2/upstreams/2, "half of the even share; callers say that they give up: %t", says)
+		assert.Positive(t, n, "it is tried again")
+	}
+}
+
 // TestNoUpstreamInZone guards against refusals while another zone can serve.
 func TestNoUpstreamInZone(t *testing.T) {
 	f := newFixture(21, 22)
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -41,9 +41,9 @@
 	}
 	t := r.targets[e.ID]
 	r.learn(now, k, t, p)
-	if route.Idempotent && t.signs.dead() && r.evidence.lastAnswer.After(t.signs.first) {
-		// Others answer, so the upstream is at fault. The caller can repeat the
-		// request elsewhere, which is better than to wait until its deadline.
+	if route.Idempotent && r.dead(t) {
+		// The caller can repeat the request elsewhere, which is better than to
+		// wait until its deadline.
 		r.forget(k)
 		return r.resetFrom(e, p, ReasonUpstreamSilent)
 	}
@@ -72,6 +72,13 @@
 // up any number of them.
 const maxUnknowns = 1024
 
+// dead reports whether an upstream has crashed, as far as packets tell: it is
+// silent while others in its zone answer. An upstream in another zone may only
+// be out of this balancer's reach, and others may carry the flow on.
+func (r *Router) dead(t *target) bool {
+	return t.inZone && t.signs.dead() && r.zoneAnswer.After(t.signs.first)
+}
+
 // fresh reports whether the catalog is recent enough to show that something
 // does not exist.
 func (r *Router) fresh(now time.Time) bool {
@@ -113,7 +120,7 @@
 	}
 	if p.Phase != bvflow.PhaseEstablished {
 		if q, ok := r.requests.ended(k); ok {
-			r.release(q)
+			r.unserved(now, q)
 		}
 		return
 	}
@@ -136,7 +143,10 @@
 // alive takes note that an upstream has answered.
 func (r *Router) alive(now time.Time, t *target) {
 	t.signs.answered()
-	r.evidence.answered(now)
+	r.evidence.answered()
+	if t.inZone {
+		r.zoneAnswer = now
+	}
 	r.limiter.Answered(now, t.entry.ID)
 }
 
@@ -185,6 +195,16 @@
 	}
 }
 
+// unserved takes note of a request that ended without an answer. Its latency
+// is at least the time until then: an upstream that hangs or drops requests
+// would otherwise look quick by those that it serves.
+func (r *Router) unserved(now time.Time, q request) {
+	r.release(q)
+	if t := r.targets[q.upstream]; t != nil {
+		t.load.measured(now, max(now.Sub(q.at), t.load.latency))
+	}
+}
+
 // expire counts openings that the callers gave up without a repetition, and
 // requests that nobody waits for any more.
 func (r *Router) expire(now time.Time) {
@@ -202,7 +222,7 @@
 		if !ok {
 			break
 		}
-		r.release(q)
+		r.unserved(now, q)
 	}
 }
 
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -220,6 +220,41 @@
 	}
 }
 
+// TestSilentZone guards against resets of flows whose upstream lives in a zone
+// that this balancer cannot reach, while other balancers can: pattern of two
+// zones that are cut off from each other while a third one reaches both.
+func TestSilentZone(t *testing.T) {
+	tests := []struct {
+		name          string
+		silent, other bvconfig.UpstreamID
+		want          Verdict
+	}{
+		{"upstream in another zone, own zone answers", 21, 11, VerdictForward},
+		{"upstream in the own zone, another zone answers", 11, 21, VerdictForward},
+		{"upstream in the own zone, own zone answers", 11, 12, VerdictReset},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(tt.silent, tt.other)
+			at := func(id bvconfig.UpstreamID) *flow {
+				x := f.caller(feeds)
+				x.token, x.upstream = bvcatalog.TokenOf(id), id
+				return x
+			}
+			silent, other := at(tt.silent), at(tt.other)
+			f.request(silent, false)
+			var d Decision
+			for range 6 {
+				f.pass(200 * time.Millisecond)
+				f.request(other, false)
+				f.answer(other)
+				d = f.request(silent, true)
+			}
+			assert.Equal(t, tt.want, d.Verdict)
+		})
+	}
+}
+
 // TestSignOfLife guards against resets of flows at an upstream that answers
 // others: packets are lost now and then.
 func TestSignOfLife(t *testing.T) {
