--- a/cmd/balsamvane/run.go
+++ b/cmd/balsamvane/run.go
@@ -101,7 +101,7 @@
 func newForwarder(path string, s bvsettings.Settings, clock clockwork.Clock, log *zap.Logger) (process, error) {
 	metrics := bvadmin.NewMetrics()
 	calls := bvforwarder.CallCounter(metrics.Scope)
-	store := bvfollower.Source{Name: "store", Direct: true, Store: platform.NewStore(s.Platform.Addresses[0], log, calls)}
+	store := bvfollower.Source{Name: "store", Direct: true, Store: platform.NewStore(s.Platform.Addresses[0], clock, log, calls)}
 	follower := bvfollower.New(sources(s, store), clock, log, bvfollower.Options{Seed: uint64(bvconfig.NodeIDOf(s.Node))})
 	return bvforwarder.New(s, clock, log, metrics, platform.Codec{}, follower, bvforwarder.Options{
 		ReadyPath: platform.ReadyPath,
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -75,7 +75,8 @@
 
 // Options bound the calls; zero values select the defaults.
 type Options struct {
-	ListTimeout time.Duration // 1 s.
+	// ListTimeout bounds a whole listing; sources bound its parts. 10 s.
+	ListTimeout time.Duration
 	// WatchMargin is how much longer than its wait a watch may be silent
 	// before its connection is given up; 500 ms.
 	WatchMargin time.Duration
@@ -89,7 +90,7 @@
 const defaultWait = 1500 * time.Millisecond
 
 func (o Options) withDefaults() Options {
-	o.ListTimeout = cmp.Or(o.ListTimeout, time.Second)
+	o.ListTimeout = cmp.Or(o.ListTimeout, 10*time.Second)
 	o.WatchMargin = cmp.Or(o.WatchMargin, 500*time.Millisecond)
 	o.Pause = cmp.Or(o.Pause, 300*time.Millisecond)
 	return o
--- a/io/bvrelay/client.go
+++ b/io/bvrelay/client.go
@@ -14,6 +14,9 @@
 	"github.com/rotisserie/eris"
 )
 
+// listTimeout bounds a listing, which the balancer answers at once.
+const listTimeout = 2 * time.Second
+
 // dialTimeout bounds the opening of a connection. A peer that does not take
 // one within it is passed over.
 const dialTimeout = 500 * time.Millisecond
@@ -39,6 +42,8 @@
 
 // List returns all that the balancer knows.
 func (c *Client) List(ctx context.Context) (bvfollower.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
 	return c.ask(ctx, &watchRequest{List: true})
 }
 
