Stop counting a request when its caller uses the port for another upstream

Cause: found while reading: a request that a reused port replaces stayed open in the old upstream's count for ever (TestReusedPort: 1 in place of 0).

--- a/core/bvtoken/request.go
+++ b/core/bvtoken/request.go
@@ -33,7 +33,7 @@
 // acknowledged.
 func (r *requests) sent(now time.Time, k bvflow.Key, u bvconfig.UpstreamID, p Packet) (starts, repeats bool, lost request) {
 	q, ok := r.open[k]
-	if ok && q.upstream == u {
+	if ok {
 		if p.Sequence == q.sequence {
 			return false, true, request{}
 		}
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -40,6 +40,9 @@
 		return r.resetFrom(e, p, ReasonUpstreamGone)
 	}
 	t := r.targets[e.ID]
+	if t == nil { // Nothing is measured of an upstream without a service.
+		return forward(e, ReasonToken)
+	}
 	r.learn(now, k, t, p)
 	if route.Idempotent && r.dead(t) {
 		// The caller can repeat the request elsewhere, which is better than to
@@ -127,6 +130,9 @@
 	if p.Payload == 0 {
 		return
 	}
+	if q, ok := r.requests.open[k]; ok && q.upstream != t.entry.ID {
+		r.forget(k) // The caller uses its port again.
+	}
 	starts, repeats, lost := r.requests.sent(now, k, t.entry.ID, p)
 	r.release(lost)
 	switch {
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -306,6 +306,22 @@
 	assert.Zero(t, n)
 }
 
+// TestReusedPort guards against requests that count as open for ever when a
+// caller uses its port again for a flow at another upstream.
+func TestReusedPort(t *testing.T) {
+	f := newFixture(11, 12)
+	x := f.connect(feeds)
+	f.request(x, false)
+	before := x.upstream
+	x.upstream = 23 - before
+	x.token = bvcatalog.TokenOf(x.upstream)
+	f.request(x, false)
+	assert.Zero(t, f.router.targets[before].load.open)
+	assert.Equal(t, 1, f.router.targets[x.upstream].load.open)
+	f.answer(x)
+	assert.Zero(t, f.router.targets[x.upstream].load.open)
+}
+
 // TestBoundedMemory guards against memory that grows with openings and
 // requests that are never answered.
 func TestBoundedMemory(t *testing.T) {
