--- a/core/bvcatalog/bvcatalog.go
+++ b/core/bvcatalog/bvcatalog.go
@@ -4,7 +4,7 @@
 // A platform lists its entries and reports their changes. Both come with a
 // revision. The configuration of the operators only ever moves to a higher
 // version. Entries of upstreams come and go one by one; an entry that is
-// missing after the platform was out of reach may only have expired meanwhile,
+// missing after the platform was unreachable may only have expired meanwhile,
 // so its upstream stays in use for the settle time, in which a live upstream
 // registers again.
 //
--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -21,7 +21,7 @@
 	return cmp.Or(t, 1)
 }
 
-// Entry is an upstream with what the catalog believes of it.
+// Entry is an upstream with what the catalog knows about it.
 type Entry struct {
 	Upstream
 	Token Token
--- a/core/bvlimit/answer.go
+++ b/core/bvlimit/answer.go
@@ -25,8 +25,7 @@
 	l.judge(x, l.since(now))
 }
 
-// Unanswered records that a caller has waited in vain for u's answer to an
-// opening. It reports whether u is left out from now on.
+// Unanswered records that u did not answer an opening in time. It reports whether u is left out from now on.
 func (l *Limiter) Unanswered(now time.Time, u bvconfig.UpstreamID) bool {
 	x := l.upstreams[u]
 	if x == nil || l.options.noRetransmits {
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -4,7 +4,7 @@
 // The balancer that gets an opening packet chooses the upstream and writes its
 // token into the packet. Every later packet of the flow carries the token, so
 // any balancer can send it to the same upstream without an entry for the flow
-// and without a word with another balancer. Restarts, joins and losses of
+// and without messages between balancers. Restarts, joins and losses of
 // balancers move no flow. core/bvroute decides for packets without such a
 // field, from entries at owners and replicas.
 //
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -131,8 +131,8 @@
 	// which covers the spread of the requests' own times.
 	latencyCost  = 2.0
 	latencySlack = 0.3
-	// fartherCost is for another zone: links between zones are dear and fail
-	// more often, so the own zone takes its load until it is clearly slower.
+	// fartherCost is for another zone: links between zones are expensive and
+	// fail more often, so the own zone takes its load until it is clearly slower.
 	fartherCost = 1.5
 	// avoidCost puts the upstream that did not answer behind all others.
 	avoidCost = 1e9
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -232,7 +232,7 @@
 		w.catalog.Tick(now)
 		w.gauge(now)
 		w.mu.Unlock()
-		w.decisions.tell(now)
+		w.decisions.reportLeftOut(now)
 	}
 }
 
--- a/io/bvforwarder/decisionlog.go
+++ b/io/bvforwarder/decisionlog.go
@@ -26,14 +26,14 @@
 // flow, what decided, its age and version, and the outcome. Packets of open
 // flows that are forwarded have none.
 type decisionLog struct {
-	log     *zap.Logger
-	budgets [3][]*bvlog.Budget // By verdict and reason.
-	leftOut tally.Counter
-	told    time.Time
+	log        *zap.Logger
+	budgets    [3][]*bvlog.Budget // By verdict and reason.
+	leftOut    tally.Counter
+	reportedAt time.Time
 }
 
 func newDecisionLog(log *zap.Logger, clock clockwork.Clock, s tally.Scope) *decisionLog {
-	l := &decisionLog{log: log, leftOut: s.Counter("logLinesLeftOut"), told: clock.Now()}
+	l := &decisionLog{log: log, leftOut: s.Counter("logLinesLeftOut"), reportedAt: clock.Now()}
 	for v, lines := range map[bvtoken.Verdict]int{
 		bvtoken.VerdictForward: placedLines, bvtoken.VerdictReset: refusedLines, bvtoken.VerdictDrop: droppedLines,
 	} {
@@ -70,12 +70,12 @@
 		zap.Duration("catalogAge", s.age), zap.Int64("revision", s.revision), zap.Uint64("version", s.version))
 }
 
-// tell writes a line about lines left out, now and then.
-func (l *decisionLog) tell(now time.Time) {
-	if now.Sub(l.told) < leftOutInterval {
+// reportLeftOut writes the numbers of lines left out, once in an interval.
+func (l *decisionLog) reportLeftOut(now time.Time) {
+	if now.Sub(l.reportedAt) < leftOutInterval {
 		return
 	}
-	l.told = now
+	l.reportedAt = now
 	for v := range l.budgets {
 		for r, b := range l.budgets[v] {
 			if n := b.TakeLeftOut(); n > 0 {
