--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -89,8 +89,8 @@
 	// FreshFor is the age of the catalog up to which a missing route or
 	// upstream shows that there is none. 2.8 s.
 	FreshFor time.Duration
-	// AnswerTimeout is how long an opening may wait for its answer without a
-	// repetition by the caller. 1.4 s.
+	// AnswerTimeout is how long a caller waits for the answer to an opening.
+	// 1.4 s.
 	AnswerTimeout time.Duration
 	// RequestTimeout is how long a request may wait for its answer until it is
 	// no longer counted. 3 s.
@@ -147,6 +147,8 @@
 	services   map[string]*serviceTargets
 	pending    pending
 	requests   requests
+	handshake  handshake
+	recent     recent
 	unknowns   map[bvcatalog.Token]time.Time // When a token without upstream was seen first.
 	placement  uint64
 	evidence   evidence
--- /dev/null
+++ b/core/bvtoken/crash_test.go
@@ -0,0 +1,70 @@
+package bvtoken
+
+import (
+	"testing"
+	"time"
+
+	"balsamvane/core/bvconfig"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestRefusingUpstream guards against an upstream that attracts new flows
+// because it refuses them at once: pattern of a crashed process whose VM
+// resets openings within milliseconds, so that its load looks low and callers
+// come again with a new port until they have used up their tries.
+func TestRefusingUpstream(t *testing.T) {
+	const (
+		crashed   = bvconfig.UpstreamID(11)
+		tries     = 3
+		requests  = 300
+		handshake = 3 * time.Millisecond
+		interval  = 9 * time.Millisecond
+		work      = 54 * time.Millisecond
+	)
+	f := newFixture(11, 12, 13, 14, 21, 22)
+	type open struct {
+		flow *flow
+		at   time.Time
+	}
+	var waiting []open
+	pass := func(d time.Duration) {
+		f.pass(d)
+		for len(waiting) > 0 && !waiting[0].at.After(f.now) {
+			f.answer(waiting[0].flow)
+			waiting = waiting[1:]
+		}
+	}
+	up := true
+	// request returns the number of openings of one request that were refused.
+	request := func() (refused int) {
+		defer func() { pass(interval - min(time.Duration(refused+1), tries)*handshake) }()
+		for refused < tries {
+			x := f.caller(feeds)
+			f.open(x)
+			pass(handshake)
+			if x.upstream == crashed && !up {
+				refused++
+				continue
+			}
+			f.request(x, false)
+			waiting = append(waiting, open{x, f.now.Add(work)})
+			return refused
+		}
+		return refused
+	}
+	for range requests {
+		request()
+	}
+	up, waiting = false, nil
+	failed, refused := 0, 0
+	for range requests {
+		n := request()
+		refused += n
+		if n == tries {
+			failed++
+		}
+	}
+	assert.Zero(t, failed, "requests that were refused at each try")
+	assert.LessOrEqual(t, refused, 8, "two for the finding, four more within its time, one for each trial")
+}
--- a/core/bvtoken/load.go
+++ b/core/bvtoken/load.go
@@ -22,6 +22,7 @@
 	count   float64 // Exponentially decaying count of requests.
 	at      time.Time
 	open    int           // Requests that wait for an answer.
+	opening int           // Openings that wait for an answer.
 	latency time.Duration // Mean of the last requests; 0 if none was measured.
 	seen    time.Time     // Time of the last measurement.
 }
--- a/core/bvtoken/pending.go
+++ b/core/bvtoken/pending.go
@@ -19,24 +19,53 @@
 // when it is full.
 type pending struct {
 	openings map[bvflow.Key]opening
-	queue    ring
+	overdue  ring // Openings whose answer may become overdue.
+	given    ring // Openings that the caller may give up.
 }
 
 func newPending(most int) pending {
-	return pending{openings: make(map[bvflow.Key]opening), queue: newRing(most)}
+	return pending{openings: make(map[bvflow.Key]opening), overdue: newRing(most), given: newRing(most)}
 }
 
-func (p *pending) put(k bvflow.Key, o opening) {
-	if full, oldest := p.queue.put(k, o.at); full {
+// put adds an opening. It returns the opening that had to be forgotten for it,
+// if there is one.
+func (p *pending) put(k bvflow.Key, o opening) (lost opening, full bool) {
+	p.overdue.put(k, o.at)
+	if evicted, oldest := p.given.put(k, o.at); evicted {
+		lost, full = p.openings[oldest]
 		delete(p.openings, oldest)
 	}
 	p.openings[k] = o
+	return lost, full
+}
+
+// answered removes and returns the opening of a flow whose caller goes on.
+func (p *pending) answered(k bvflow.Key) (opening, bool) {
+	o, ok := p.openings[k]
+	delete(p.openings, k)
+	return o, ok
+}
+
+// late marks and returns the next opening that was placed before t and does
+// not count as unanswered yet.
+func (p *pending) late(t time.Time) (opening, bool) {
+	for {
+		e, ok := p.overdue.before(t)
+		if !ok {
+			return opening{}, false
+		}
+		if o, ok := p.openings[e.key]; ok && o.at.Equal(e.at) && !o.judged {
+			o.judged = true
+			p.openings[e.key] = o
+			return o, true
+		}
+	}
 }
 
 // expired removes and returns the next opening that was placed before t.
-func (p *pending) expired(t time.Time) (o opening, ok bool) {
+func (p *pending) expired(t time.Time) (opening, bool) {
 	for {
-		e, ok := p.queue.before(t)
+		e, ok := p.given.before(t)
 		if !ok {
 			return opening{}, false
 		}
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -1,6 +1,8 @@
 package bvtoken
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"balsamvane/core/bvcatalog"
@@ -25,19 +27,62 @@
 		}
 		return r.reset(p, ReasonNoRoute)
 	}
-	avoid := r.repeated(now, k)
-	t, why := r.place(now, k, r.services[r.backend(k, route)], avoid)
+	f := newFlow{
+		key: k, service: r.services[r.backend(k, route)],
+		unanswered: r.repeated(now, k), waiting: r.waiting(p.Source.Addr()),
+	}
+	t, why := r.place(now, f)
 	if t == nil {
 		return r.reset(p, why)
 	}
-	if avoid != 0 && why == ReasonPlaced {
+	if f.unanswered != 0 && why == ReasonPlaced {
 		why = ReasonPlacedAgain
 	}
 	t.load.add(now, 1)
-	r.pending.put(k, opening{upstream: t.entry.ID, at: now})
+	r.opened(now, k, t)
+	r.recent.put(p.Source.Addr(), k)
 	return forward(t.entry, why)
 }
 
+// newFlow is a flow that needs an upstream.
+type newFlow struct {
+	key     bvflow.Key
+	service *serviceTargets
+	// unanswered is the upstream that did not answer an earlier copy of the
+	// opening.
+	unanswered bvconfig.UpstreamID
+	// waiting are upstreams from which the caller waits for an answer to its
+	// last openings, as far as packets tell. They may have reset them.
+	waiting [recentOpenings]bvconfig.UpstreamID
+}
+
+// waiting returns the upstreams that have not answered the last openings of a
+// caller.
+func (r *Router) waiting(caller netip.Addr) (us [recentOpenings]bvconfig.UpstreamID) {
+	for i, k := range r.recent.openings(caller) {
+		us[i] = r.pending.openings[k].upstream
+	}
+	return us
+}
+
+// opened takes note of a placed opening, which may be a repeated one.
+func (r *Router) opened(now time.Time, k bvflow.Key, t *target) {
+	if before, ok := r.pending.answered(k); ok {
+		r.settle(before)
+	}
+	t.load.opening++
+	if lost, full := r.pending.put(k, opening{upstream: t.entry.ID, at: now}); full {
+		r.settle(lost)
+	}
+}
+
+// settle stops counting an opening that nobody waits for any more.
+func (r *Router) settle(o opening) {
+	if t := r.targets[o.upstream]; t != nil {
+		t.load.opening = max(t.load.opening-1, 0)
+	}
+}
+
 // repeated returns the upstream that did not answer the opening before, if
 // there was one, and counts that.
 func (r *Router) repeated(now time.Time, k bvflow.Key) bvconfig.UpstreamID {
@@ -75,14 +120,14 @@
 
 // place returns the upstream for a new flow, or nil and the reason. It tries
 // upstreams in the order of their cost.
-func (r *Router) place(now time.Time, k bvflow.Key, s *serviceTargets, avoid bvconfig.UpstreamID) (*target, Reason) {
-	if s == nil {
+func (r *Router) place(now time.Time, f newFlow) (*target, Reason) {
+	if f.service == nil {
 		return nil, ReasonNoUpstream
 	}
 	r.placement++
 	why := ReasonNoUpstream
 	for {
-		t := r.next(now, k, s, avoid)
+		t := r.next(now, f)
 		if t == nil {
 			break
 		}
@@ -97,21 +142,21 @@
 			why = ReasonColdBudget
 		}
 	}
-	if t := r.lastResort(now, s); t != nil {
+	if t := r.lastResort(now, f.service); t != nil {
 		return t, ReasonPlacedSilent
 	}
 	return nil, why
 }
 
 // next returns the best upstream that this placement has not tried.
-func (r *Router) next(now time.Time, k bvflow.Key, s *serviceTargets, avoid bvconfig.UpstreamID) *target {
+func (r *Router) next(now time.Time, f newFlow) *target {
 	var best *target
 	var least float64
-	for _, t := range s.targets {
+	for _, t := range f.service.targets {
 		if t.tried == r.placement {
 			continue
 		}
-		n := r.cost(now, k, s, t, avoid)
+		n := r.cost(now, f, t)
 		if best == nil || n < least {
 			best, least = t, n
 		}
@@ -125,7 +170,9 @@
 	// utilizationCost is for the part of the upstream's slots that this
 	// balancer's requests use.
 	utilizationCost = 2.0
-	// openCost is for each slot's worth of requests that wait for an answer.
+	// openCost is for each slot's worth of openings and requests that wait for
+	// an answer. An upstream that refuses its openings would look free without
+	// them.
 	openCost = 0.5
 	// latencyCost is for the latency above the usual one, after latencySlack,
 	// which covers the spread of the requests' own times.
@@ -134,8 +181,12 @@
 	// fartherCost is for another zone: links between zones are expensive and
 	// fail more often, so the own zone takes its load until it is clearly slower.
 	fartherCost = 1.5
-	// avoidCost puts the upstream that did not answer behind all others.
-	avoidCost = 1e9
+	// waitingCost is for an upstream that may have reset the caller's last
+	// opening. It exceeds fartherCost, for a zone with one upstream.
+	waitingCost = 2.0
+	// unansweredCost puts the upstream that did not answer an earlier copy of
+	// the opening behind all others.
+	unansweredCost = 1e9
 	// coldFactor is how much slower a cold upstream is.
 	coldFactor = 1.6
 	// tieCost breaks ties, differently for each flow.
@@ -147,14 +198,14 @@
 
 // cost estimates how long a request would take at an upstream, as far as this
 // balancer's own requests tell.
-func (r *Router) cost(now time.Time, k bvflow.Key, s *serviceTargets, t *target, avoid bvconfig.UpstreamID) float64 {
-	usual := s.usual
+func (r *Router) cost(now time.Time, f newFlow, t *target) float64 {
+	usual := f.service.usual
 	if usual == 0 {
 		usual = assumedLatency
 	}
 	slots := float64(max(t.entry.Slots, 1))
 	n := utilizationCost * t.load.requests(now) * usual.Seconds() / loadMemory.Seconds() / slots
-	n += openCost * float64(t.load.open) / slots
+	n += openCost * float64(t.load.open+t.load.opening) / slots
 	if t.entry.Cold(now) {
 		n *= coldFactor
 	}
@@ -164,10 +215,13 @@
 	if !t.inZone {
 		n += fartherCost
 	}
-	if t.entry.ID == avoid {
-		n += avoidCost
+	if slices.Contains(f.waiting[:], t.entry.ID) {
+		n += waitingCost
+	}
+	if t.entry.ID == f.unanswered {
+		n += unansweredCost
 	}
-	return n + tieCost*tie(k, t.entry.ID)
+	return n + tieCost*tie(f.key, t.entry.ID)
 }
 
 // tie returns a number in [0, 1) that is independent for each flow and
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -9,12 +9,13 @@
 	"balsamvane/core/bvlimit"
 )
 
-// Route decides on a caller's packet.
+// Route decides on a caller's packet. If there are several packets, those of
+// open flows come first: they show which openings have been answered.
 func (r *Router) Route(now time.Time, p Packet) Decision {
 	r.refresh(now)
-	r.expire(now)
 	k := r.hasher.Key(p.Tuple)
 	if p.Phase == bvflow.PhaseOpening {
+		r.expire(now)
 		return r.open(now, k, p)
 	}
 	return r.follow(now, k, p)
@@ -113,9 +114,10 @@
 // the request was answered; it repeats data, so the upstream has not
 // acknowledged it.
 func (r *Router) learn(now time.Time, k bvflow.Key, t *target, p Packet) {
-	_, first := r.pending.openings[k]
+	o, first := r.pending.answered(k)
 	if first {
-		delete(r.pending.openings, k)
+		r.settle(o)
+		r.handshake.measured(now.Sub(o.at))
 		r.alive(now, t)
 	}
 	if q, ok := r.requests.answered(k, p); ok && q.upstream == t.entry.ID {
@@ -211,18 +213,25 @@
 	}
 }
 
-// expire counts openings that the callers gave up without a repetition, and
-// requests that nobody waits for any more.
+// expire counts openings that were not answered in time, and requests that
+// nobody waits for any more.
 func (r *Router) expire(now time.Time) {
 	for {
-		o, ok := r.pending.expired(now.Add(-r.options.AnswerTimeout))
+		o, ok := r.pending.late(now.Add(-r.handshake.timeout()))
 		if !ok {
 			break
 		}
-		if t := r.targets[o.upstream]; t != nil && !o.judged {
+		if t := r.targets[o.upstream]; t != nil {
 			r.unanswered(now, t)
 		}
 	}
+	for {
+		o, ok := r.pending.expired(now.Add(-r.options.AnswerTimeout))
+		if !ok {
+			break
+		}
+		r.settle(o)
+	}
 	for {
 		q, ok := r.requests.expired(now.Add(-r.options.RequestTimeout))
 		if !ok {
--- a/io/bvforwarder/loop.go
+++ b/io/bvforwarder/loop.go
@@ -1,6 +1,9 @@
 package bvforwarder
 
 import (
+	"time"
+
+	"balsamvane/core/bvflow"
 	"balsamvane/core/bvtoken"
 	"balsamvane/io/bvtunnel"
 )
@@ -43,9 +46,8 @@
 	}
 	now := w.clock.Now()
 	w.mu.Lock()
-	for i := range l.items {
-		l.items[i].decision = w.router.Route(now, l.items[i].packet)
-	}
+	l.decide(now, false)
+	l.decide(now, true)
 	s := state{age: w.catalog.Age(now), revision: int64(w.catalog.Revision()), version: w.catalog.Version()}
 	w.mu.Unlock()
 	for i := range l.items {
@@ -58,6 +60,18 @@
 	w.counters.seconds.RecordDuration(w.clock.Since(now))
 }
 
+// decide decides on the batch's openings, or on its other packets. The others
+// come first: after a pause of this process, they show which upstreams have
+// answered meanwhile.
+func (l *loop) decide(now time.Time, openings bool) {
+	for i := range l.items {
+		it := &l.items[i]
+		if (it.packet.Phase == bvflow.PhaseOpening) == openings {
+			it.decision = l.forwarder.router.Route(now, it.packet)
+		}
+	}
+}
+
 func (l *loop) execute(it *item, s state) {
 	w, d := l.forwarder, it.decision
 	w.counters.reason(d.Verdict, d.Reason)
