--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -103,7 +103,14 @@
 // Confirmed reports whether the platform has confirmed the catalog after t, at
 // a time at which no live upstream's entry was missing.
 func (c *Catalog) Confirmed(t time.Time) bool {
-	return c.listed && c.contact.After(t) && !c.contact.Before(c.settled) && !c.contact.Before(c.complete)
+	return c.Settled() && c.contact.After(t)
+}
+
+// Settled reports whether the platform has answered when all live upstreams
+// had registered again, after the start and after an outage. An upstream
+// without an entry has left then.
+func (c *Catalog) Settled() bool {
+	return c.listed && !c.contact.Before(c.settled) && !c.contact.Before(c.complete)
 }
 
 // Route returns the route of an address.
--- a/core/bvtoken/fixture_test.go
+++ b/core/bvtoken/fixture_test.go
@@ -26,9 +26,17 @@
 	callers  uint16
 }
 
-// newFixture returns a router of zone-a. Upstream IDs are 10*zone+n: 11 and 12
-// are in zone-a, 21 and 22 in zone-b.
+// newFixture returns a router of zone-a some time after its start. Upstream IDs
+// are 10*zone+n: 11 and 12 are in zone-a, 21 and 22 in zone-b.
 func newFixture(upstreams ...bvconfig.UpstreamID) *fixture {
+	f := newStartingFixture(upstreams...)
+	f.pass(3 * time.Second)
+	return f
+}
+
+// newStartingFixture returns a router that has just listed the platform for
+// the first time, so that live upstreams may not have registered yet.
+func newStartingFixture(upstreams ...bvconfig.UpstreamID) *fixture {
 	f := &fixture{catalog: bvcatalog.New(bvcatalog.Options{}), now: start, revision: 1}
 	f.router = New(Options{Zone: "zone-a"}, f.catalog)
 	cs := []bvcatalog.Change{bvcatalog.Declared{
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -32,6 +32,11 @@
 		unanswered: r.repeated(now, k), waiting: r.waiting(p.Source.Addr()),
 	}
 	t, why := r.place(now, f)
+	if t == nil && !r.catalog.Settled() && (why == ReasonNoUpstream || why == ReasonBusy) {
+		// Others may only have to register again. The caller repeats its
+		// opening, while a refusal would use up one of its tries.
+		return Decision{Verdict: VerdictDrop, Reason: why}
+	}
 	if t == nil {
 		return r.reset(p, why)
 	}
@@ -126,12 +131,17 @@
 	}
 	r.placement++
 	why := ReasonNoUpstream
+	settled := r.catalog.Settled()
 	for {
 		t := r.next(now, f)
 		if t == nil {
 			break
 		}
 		t.tried = r.placement
+		if !settled && t.busy() {
+			why = ReasonBusy
+			continue
+		}
 		if r.limiter.Admit(now, t.entry.ID) {
 			if !t.inZone {
 				return t, ReasonPlacedFarther
@@ -142,12 +152,21 @@
 			why = ReasonColdBudget
 		}
 	}
+	if why == ReasonBusy {
+		return nil, why
+	}
 	if t := r.lastResort(now, f.service); t != nil {
 		return t, ReasonPlacedSilent
 	}
 	return nil, why
 }
 
+// busy reports whether an upstream has as many requests of this balancer alone
+// as it has slots.
+func (t *target) busy() bool {
+	return t.load.open+t.load.opening >= int(max(t.entry.Slots, 1))
+}
+
 // next returns the best upstream that this placement has not tried.
 func (r *Router) next(now time.Time, f newFlow) *target {
 	var best *target
--- a/core/bvtoken/place_test.go
+++ b/core/bvtoken/place_test.go
@@ -287,3 +287,64 @@
 	}
 	assert.InDelta(t, 500, n, 90)
 }
+
+// TestNoRefusalBeforeSettled guards against refusals, which use up the tries of
+// callers within milliseconds, while upstreams are only not registered again:
+// pattern of a balancer that starts when the platform comes back and all
+// entries have expired.
+func TestNoRefusalBeforeSettled(t *testing.T) {
+	f := newStartingFixture() // No upstream yet.
+	f.pass(time.Second)
+	x := f.caller(feeds)
+	d := f.open(x)
+	assert.Equal(t, VerdictDrop, d.Verdict)
+	assert.Equal(t, ReasonNoUpstream, d.Reason)
+	f.apply(f.entry(11))
+	assert.Equal(t, VerdictForward, f.open(x).Verdict, "the next copy of the opening")
+
+	f = newFixture()
+	assert.Equal(t, VerdictReset, f.open(f.caller(feeds)).Verdict, "live upstreams would have registered")
+	f.apply(f.entry(11))
+	f.pass(time.Second)
+	f.gone(11)
+	assert.Equal(t, VerdictReset, f.open(f.caller(feeds)).Verdict, "the upstream has left")
+	f.now = f.now.Add(10 * time.Second) // The platform does not answer.
+	f.pass(time.Second)
+	assert.Equal(t, VerdictDrop, f.open(f.caller(feeds)).Verdict, "it has just come back")
+}
+
+// TestFirstRegisteredIsNotOverloaded guards against the load of a whole service
+// on the upstreams that register first: pattern of callers who have waited for
+// an outage of the platform and all balancers, while upstreams register again
+// over the next two seconds.
+func TestFirstRegisteredIsNotOverloaded(t *testing.T) {
+	f := newStartingFixture(11)
+	slots := int(upstream(11).Slots)
+	at := map[bvconfig.UpstreamID]int{}
+	var waiting []*flow
+	for range 100 {
+		x := f.caller(feeds)
+		switch d := f.open(x); d.Verdict {
+		case VerdictForward:
+			at[d.Upstream]++
+			f.request(x, false)
+		case VerdictDrop:
+			assert.Equal(t, ReasonBusy, d.Reason)
+			waiting = append(waiting, x)
+		case VerdictReset:
+			t.Fatal("refused, though other upstreams may register")
+		}
+		f.now = f.now.Add(time.Millisecond)
+	}
+	assert.Equal(t, slots, at[11], "requests that wait at the only upstream")
+	f.apply(f.entry(12), f.entry(13))
+	for _, x := range waiting {
+		if d := f.open(x); d.Verdict == VerdictForward {
+			at[d.Upstream]++
+			f.request(x, false)
+		}
+	}
+	assert.Equal(t, map[bvconfig.UpstreamID]int{11: slots, 12: slots, 13: slots}, at)
+	f.pass(3 * time.Second)
+	assert.Equal(t, VerdictForward, f.open(f.caller(feeds)).Verdict, "these are all; what is too much they refuse")
+}
--- a/core/bvtoken/reason.go
+++ b/core/bvtoken/reason.go
@@ -13,6 +13,7 @@
 	ReasonIncomplete                   // The catalog is not complete yet.
 	ReasonNoRoute                      // No route has the address.
 	ReasonNoUpstream                   // No upstream can take the flow.
+	ReasonBusy                         // The upstreams that have registered so far are busy.
 	ReasonColdBudget                   // All upstreams are cold and have their share of new flows.
 	ReasonUnknownToken                 // No upstream has the token.
 	ReasonNoToken                      // A packet of an open flow without a token.
@@ -25,7 +26,7 @@
 
 var reasonNames = [numReasons]string{
 	"placed", "placedFarther", "placedAgain", "placedSilent", "token", "incomplete", "noRoute", "noUpstream",
-	"coldBudget", "unknownToken", "noToken", "upstreamGone", "upstreamSilent", "unreadable", "malformed",
+	"busy", "coldBudget", "unknownToken", "noToken", "upstreamGone", "upstreamSilent", "unreadable", "malformed",
 }
 
 // String returns the reason as a word in camel case.
@@ -54,6 +55,7 @@
 	"the balancer had not read the store yet",
 	"no route had the address",
 	"the service had no upstream that takes new flows",
+	"the upstreams that had registered so far were busy, and others were expected to register",
 	"all upstreams that take new flows were cold and had got this balancer's share",
 	"no upstream had the token",
 	"the packet belonged to no opening and had no token",
