--- a/core/bvsource/bvsource.go
+++ b/core/bvsource/bvsource.go
@@ -6,10 +6,6 @@
 // first one that answers with a state that is recent enough. The store is in
 // every list, so a balancer that reaches no other goes on by itself.
 //
-// The first listing after a start comes from the store if that answers. When
-// many balancers start together, their seeds know nothing yet or are still
-// down, and the time until a balancer knows its upstreams is an outage.
-//
 // A source that fails is left out for a delay that doubles up to a bound. When
 // the delay has passed it is tried again, also if a later source still answers.
 //
@@ -17,8 +13,8 @@
 //
 // # Usage
 //
-//	l := bvsource.New(len(sources), len(sources)-1, bvsource.Options{Seed: seed})
-//	i, wait := l.Next(now, false)
+//	l := bvsource.New(len(sources), bvsource.Options{Seed: seed})
+//	i, wait := l.Next(now)
 //	if wait == 0 {
 //		age, err := read(sources[i])
 //		if err != nil || !l.Recent(age) {
@@ -69,14 +65,12 @@
 // concurrent use.
 type List struct {
 	options Options
-	store   int
 	sources []source
 }
 
-// New returns a list of n sources, the first one preferred. The store has the
-// index store.
-func New(n, store int, o Options) *List {
-	l := &List{options: o.withDefaults(), store: store, sources: make([]source, n)}
+// New returns a list of n sources, the first one preferred.
+func New(n int, o Options) *List {
+	l := &List{options: o.withDefaults(), sources: make([]source, n)}
 	for i := range l.sources {
 		l.sources[i].backoff = bvretry.NewBackoff(l.options.FirstDelay, l.options.MostDelay, o.Seed+uint64(i))
 	}
@@ -84,11 +78,8 @@
 }
 
 // Next returns the source to read from, or how long to wait until there is one
-// again. The store comes first for the first listing.
-func (l *List) Next(now time.Time, first bool) (i int, wait time.Duration) {
-	if first && !now.Before(l.sources[l.store].until) {
-		return l.store, 0
-	}
+// again.
+func (l *List) Next(now time.Time) (i int, wait time.Duration) {
 	soonest := 0
 	for i, s := range l.sources {
 		if !now.Before(s.until) {
--- a/core/bvsource/bvsource_test.go
+++ b/core/bvsource/bvsource_test.go
@@ -14,32 +14,31 @@
 // well.
 func TestOrder(t *testing.T) {
 	const seed, other, store = 0, 1, 2
-	l := New(3, store, Options{})
-	next := func(now time.Time, first bool) int {
-		i, wait := l.Next(now, first)
+	l := New(3, Options{})
+	next := func(now time.Time) int {
+		i, wait := l.Next(now)
 		assert.Zero(t, wait)
 		return i
 	}
-	assert.Equal(t, store, next(start, true), "the first listing comes from the store")
-	assert.Equal(t, seed, next(start, false))
+	assert.Equal(t, seed, next(start))
 	l.Failed(start, seed)
-	assert.Equal(t, other, next(start, false))
+	assert.Equal(t, other, next(start))
 	assert.True(t, l.Doubtful(seed))
 	l.Failed(start, other)
-	assert.Equal(t, store, next(start, false))
-	assert.Equal(t, seed, next(start.Add(150*time.Millisecond), false), "it is tried again")
+	assert.Equal(t, store, next(start))
+	assert.Equal(t, seed, next(start.Add(150*time.Millisecond)), "it is tried again")
 	l.Answered(seed)
 	assert.False(t, l.Doubtful(seed))
-	assert.Equal(t, seed, next(start, false))
+	assert.Equal(t, seed, next(start))
 }
 
 // TestAllFail guards against calls in a tight loop while every source fails,
 // and against delays that grow without bound.
 func TestAllFail(t *testing.T) {
-	l := New(2, 1, Options{})
+	l := New(2, Options{})
 	now, calls := start, 0
 	for now.Before(start.Add(time.Minute)) {
-		i, wait := l.Next(now, false)
+		i, wait := l.Next(now)
 		if wait > 0 {
 			assert.LessOrEqual(t, wait, 2*time.Second)
 			now = now.Add(wait)
@@ -55,7 +54,7 @@
 // TestRecent guards against two sources that have lost the store and take each
 // other's state for recent.
 func TestRecent(t *testing.T) {
-	l := New(1, 0, Options{})
+	l := New(1, Options{})
 	assert.True(t, l.Recent(1500*time.Millisecond), "the age between two answers of the store")
 	assert.False(t, l.Recent(2*time.Second))
 }
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -19,7 +19,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -116,8 +115,9 @@
 	log     *zap.Logger
 	options Options
 
-	mu   sync.Mutex
-	next []Source // Sources to take over; nil if none have been set.
+	mu      sync.Mutex
+	next    []Source      // Sources to take over; nil if none have been set.
+	changed chan struct{} // Holds a value when next has been set.
 
 	started  bool // A first listing was read.
 	listed   bool
@@ -129,15 +129,14 @@
 
 // New returns a follower of the sources, the first one preferred.
 func New(sources []Source, clock clockwork.Clock, log *zap.Logger, o Options) *Follower {
-	f := &Follower{clock: clock, log: log, options: o.withDefaults()}
+	f := &Follower{clock: clock, log: log, options: o.withDefaults(), changed: make(chan struct{}, 1)}
 	f.use(sources)
 	return f
 }
 
 func (f *Follower) use(sources []Source) {
-	store := max(slices.IndexFunc(sources, func(s Source) bool { return s.Direct }), 0)
 	f.sources, f.current = sources, -1
-	f.list = bvsource.New(len(sources), store, bvsource.Options{Seed: f.options.Seed})
+	f.list = bvsource.New(len(sources), bvsource.Options{Seed: f.options.Seed})
 }
 
 // SetSources replaces the sources after the call in progress.
@@ -145,6 +144,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.next = sources
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
 }
 
 // takeSources takes over sources that were set meanwhile.
@@ -166,7 +169,11 @@
 func (f *Follower) Run(ctx context.Context, sink func(Event)) error {
 	for ctx.Err() == nil {
 		f.takeSources()
-		i, wait := f.list.Next(f.clock.Now(), !f.started)
+		if !f.started {
+			f.begin(ctx, sink)
+			continue
+		}
+		i, wait := f.list.Next(f.clock.Now())
 		if wait > 0 {
 			f.sleep(ctx, wait)
 			continue
@@ -196,7 +203,7 @@
 		if err != nil {
 			return l, err
 		}
-		f.listed, f.started, f.revision = true, true, l.Revision
+		f.listed, f.revision = true, l.Revision
 		f.confirmed(l)
 		sink(Listed{Listing: l})
 		return Listing{}, nil
@@ -237,15 +244,19 @@
 // call makes a bounded call. An answer that is too old is a failure, but a
 // listing is used whatever its age: it is better than none.
 func (f *Follower) call(ctx context.Context, limit time.Duration, do func(context.Context) (Listing, error)) (Listing, error) {
-	ctx, cancel := clockwork.WithTimeout(ctx, f.clock, limit)
-	defer cancel()
-	l, err := do(ctx)
+	l, err := f.bounded(ctx, limit, do)
 	if err == nil && f.listed && !f.list.Recent(l.Age) {
 		return l, eris.Wrapf(errOld, "age %s", l.Age)
 	}
 	return l, err
 }
 
+func (f *Follower) bounded(ctx context.Context, limit time.Duration, do func(context.Context) (Listing, error)) (Listing, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, f.clock, limit)
+	defer cancel()
+	return do(ctx)
+}
+
 // failed gives up the connection, which may be silent for good.
 func (f *Follower) failed(i int, err error) {
 	s := f.sources[i]
@@ -263,12 +274,15 @@
 	}
 }
 
-func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+// sleep reports whether d has passed; ctx has ended otherwise.
+func (f *Follower) sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
-		return
+		return ctx.Err() == nil
 	}
 	select {
 	case <-ctx.Done():
+		return false
 	case <-f.clock.After(d):
+		return true
 	}
 }
--- a/io/bvfollower/bvfollower_test.go
+++ b/io/bvfollower/bvfollower_test.go
@@ -177,15 +177,59 @@
 }
 
 // TestFirstListing guards against a start that waits for seeds which are still
-// down, and against one that waits for a store which is down.
+// down, and against one that waits for a store which is down or silent. Nothing
+// is served meanwhile.
 func TestFirstListing(t *testing.T) {
+	old := Listing{Revision: 3, Age: time.Minute}
+	tests := map[string]func(f *fixture){
+		"store is down":   func(f *fixture) { f.next(f.store).answer <- answer{err: errors.New("down")} },
+		"store is silent": func(f *fixture) { f.next(f.store) },
+	}
+	for name, fail := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			started := f.clock.Now()
+			fail(f)
+			c := f.next(f.peer)
+			assert.True(t, c.list)
+			assert.LessOrEqual(t, f.clock.Since(started), 500*time.Millisecond)
+			c.answer <- answer{listing: old}
+			assert.Equal(t, Listed{old}, <-f.events, "an old state is better than none")
+			assert.EqualValues(t, 3, f.next(f.peer).after)
+		})
+	}
+	t.Run("seeds are silent", func(t *testing.T) {
+		f := newFixture(t)
+		f.next(f.store).answer <- answer{err: errors.New("down")}
+		f.next(f.peer)
+		f.listed(5)
+		assert.EqualValues(t, 5, f.next(f.peer).after)
+	})
+}
+
+// TestFirstListingRetries guards against a start that finds the store a long
+// time after that is back.
+func TestFirstListingRetries(t *testing.T) {
 	f := newFixture(t)
-	f.next(f.store).answer <- answer{err: errors.New("down")}
-	c := f.next(f.peer)
+	for range 10 {
+		started := f.clock.Now()
+		f.next(f.store).answer <- answer{err: errors.New("down")}
+		assert.LessOrEqual(t, f.clock.Since(started), 500*time.Millisecond)
+	}
+	f.listed(5)
+}
+
+// TestSetSourcesAtStart guards against seeds of changed settings that are not
+// used while the first ones do not answer.
+func TestSetSourcesAtStart(t *testing.T) {
+	f := newFixture(t)
+	f.next(f.store)
+	other := newFakeStore()
+	f.follower.SetSources([]Source{{Name: "other", Store: other}, {Name: "store", Store: newFakeStore(), Direct: true}})
+	c := f.next(other)
 	assert.True(t, c.list)
-	old := Listing{Revision: 3, Age: time.Minute}
-	c.answer <- answer{listing: old}
-	assert.Equal(t, Listed{old}, <-f.events, "an old state is better than none")
+	c.answer <- answer{listing: Listing{Revision: 7}}
+	assert.Equal(t, Listed{Listing{Revision: 7}}, <-f.events)
 }
 
 // TestSetSources guards against seeds of changed settings that are not used.
@@ -193,7 +237,8 @@
 	f := newFixture(t)
 	f.listed(5)
 	other := newFakeStore()
+	c := f.next(f.peer) // The call in progress goes on.
 	f.follower.SetSources([]Source{{Name: "other", Store: other}, {Name: "store", Store: f.store, Direct: true}})
-	f.next(f.peer).answer <- answer{listing: Listing{Revision: 6}}
+	c.answer <- answer{listing: Listing{Revision: 6}}
 	assert.EqualValues(t, 6, f.next(other).after)
 }
