--- a/io/bvfollower/start.go
+++ b/io/bvfollower/start.go
@@ -62,11 +62,13 @@
 	return false
 }
 
-// firstListing lists a source until it answers or ctx ends.
+// firstListing lists a source until it answers or ctx ends. It logs the first
+// failure only: while the store is down, each source fails several times a
+// second.
 func (f *Follower) firstListing(ctx context.Context, i int) (Listing, bool) {
 	s := f.sources[i]
 	backoff := bvretry.NewBackoff(firstRetry, mostRetry, f.options.Seed+uint64(i))
-	for {
+	for failures := 0; ; failures++ {
 		l, err := f.bounded(ctx, f.options.ListTimeout, s.Store.List)
 		if err == nil {
 			return l, true
@@ -75,7 +77,9 @@
 			return l, false
 		}
 		s.Store.Disconnect()
-		f.log.Warn("source does not answer at the start", zap.String("source", s.Name), zap.String("error", err.Error()))
+		if failures == 0 {
+			f.log.Warn("source does not answer at the start", zap.String("source", s.Name), zap.String("error", err.Error()))
+		}
 		if !f.sleep(ctx, backoff.Next()) {
 			return l, false
 		}
