--- a/cmd/balsamvane/run.go
+++ b/cmd/balsamvane/run.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvfanout"
 	"balsamvane/core/bvfinding"
 	"balsamvane/core/bvflow"
 	"balsamvane/core/bvnode"
@@ -102,7 +104,10 @@
 	metrics := bvadmin.NewMetrics()
 	calls := bvforwarder.CallCounter(metrics.Scope)
 	store := bvfollower.Source{Name: "store", Direct: true, Store: platform.NewStore(s.Platform.Addresses[0], clock, log, calls)}
-	follower := bvfollower.New(sources(s, store), clock, log, bvfollower.Options{Seed: uint64(bvconfig.NodeIDOf(s.Node))})
+	follower := bvfollower.New(sources(s, store), clock, log, bvfollower.Options{
+		Seed: uint64(bvconfig.NodeIDOf(s.Node)),
+		Peer: func(a netip.AddrPort) bvfollower.Source { return peer(s, a) },
+	})
 	return bvforwarder.New(s, clock, log, metrics, platform.Codec{}, follower, bvforwarder.Options{
 		ReadyPath: platform.ReadyPath,
 		Reload: bvforwarder.Reload{
@@ -112,6 +117,12 @@
 	})
 }
 
+// peer returns the balancer with a control address as a source.
+func peer(s bvsettings.Settings, a netip.AddrPort) bvfollower.Source {
+	self := bvfanout.Follower{Address: s.Listen.Control, Zone: s.Zone}
+	return bvfollower.Source{Name: a.String(), Store: bvrelay.NewClient(a, self)}
+}
+
 // sources returns what the balancer follows. A seed reads the store and turns
 // to other seeds if that does not answer it; all others follow the seeds, in an
 // order of their own, and read the store if none answers.
@@ -124,7 +135,7 @@
 			isSeed = true
 			continue
 		}
-		peers = append(peers, bvfollower.Source{Name: a.String(), Store: bvrelay.NewClient(a)})
+		peers = append(peers, peer(s, a))
 		cs = append(cs, bvpick.Balancer(bvconfig.NodeIDOf(a.String())))
 	}
 	key := bvflow.NewHasher(0).Key(bvflow.Tuple{Source: s.Listen.Fabric})
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -9,6 +9,10 @@
 // it lists all entries again only if the source has forgotten that part of the
 // history.
 //
+// A source that has enough followers names some of them, and the follower
+// follows one of these as long as it is well; then it comes back to its own
+// sources.
+//
 // # Usage
 //
 //	f := bvfollower.New(sources, clock, log, bvfollower.Options{})
@@ -19,6 +23,8 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -34,6 +40,15 @@
 // history.
 var ErrCompacted = errors.New("bvfollower: history is no longer available")
 
+// Redirect is returned by a watch of a source that has enough followers. It
+// names sources to follow instead, the first one preferred.
+type Redirect struct{ Others []netip.AddrPort }
+
+// Error implements error.
+func (r *Redirect) Error() string {
+	return fmt.Sprintf("bvfollower: source has enough followers and names %v", r.Others)
+}
+
 // errOld is a failure of a source that has lost its own source.
 var errOld = errors.New("bvfollower: source has not heard of the store for too long")
 
@@ -83,6 +98,9 @@
 	// that changes in quick succession come in one answer; 300 ms.
 	Pause time.Duration
 	Seed  uint64 // Of the jitter.
+	// Peer returns the balancer with a control address as a source, for
+	// balancers that a source names. Without it they are not followed.
+	Peer func(netip.AddrPort) Source
 }
 
 // defaultWait is the wait of a source that sets none.
@@ -124,7 +142,9 @@
 	revision bvcatalog.Revision
 	contact  time.Time // When the store has confirmed the state last.
 	paused   bool      // A pause came before the next call.
-	current  int       // Source of the last answer; -1 if there was none.
+	current  string    // Source of the last answer; empty if there was none.
+
+	named named
 }
 
 // New returns a follower of the sources, the first one preferred.
@@ -135,7 +155,8 @@
 }
 
 func (f *Follower) use(sources []Source) {
-	f.sources, f.current = sources, -1
+	f.sources, f.current = sources, ""
+	f.named.clear()
 	f.list = bvsource.New(len(sources), bvsource.Options{Seed: f.options.Seed})
 }
 
@@ -173,31 +194,51 @@
 			f.begin(ctx, sink)
 			continue
 		}
+		if s, ok := f.named.first(); ok {
+			l, err := f.step(ctx, s, false, sink)
+			f.settleNamed(ctx, s, err)
+			f.pause(ctx, l, err)
+			continue
+		}
 		i, wait := f.list.Next(f.clock.Now())
 		if wait > 0 {
 			f.sleep(ctx, wait)
 			continue
 		}
-		l, err := f.step(ctx, i, sink)
-		if ctx.Err() != nil {
-			break
-		}
-		if err != nil {
-			f.failed(i, err)
-			continue
-		}
-		f.answered(i)
-		if len(l.Changes) > 0 {
-			f.sleep(ctx, f.options.Pause)
-			f.paused = true
-		}
+		s := f.sources[i]
+		l, err := f.step(ctx, s, f.list.Doubtful(i), sink)
+		f.settle(ctx, i, s, err)
+		f.pause(ctx, l, err)
 	}
 	return ctx.Err()
 }
 
-// step makes one call.
-func (f *Follower) step(ctx context.Context, i int, sink func(Event)) (Listing, error) {
-	s := f.sources[i]
+// settle takes note of the outcome of a call to one of the own sources.
+func (f *Follower) settle(ctx context.Context, i int, s Source, err error) {
+	var r *Redirect
+	switch {
+	case ctx.Err() != nil:
+	case errors.As(err, &r):
+		f.redirected(i, s, r)
+	case err != nil:
+		f.failed(s, err)
+		f.list.Failed(f.clock.Now(), i)
+	default:
+		f.list.Answered(i)
+		f.answered(s)
+	}
+}
+
+// pause lets changes in quick succession come in one answer.
+func (f *Follower) pause(ctx context.Context, l Listing, err error) {
+	if err == nil && len(l.Changes) > 0 {
+		f.sleep(ctx, f.options.Pause)
+		f.paused = true
+	}
+}
+
+// step makes one call to a source. A doubtful source is asked for a quick answer.
+func (f *Follower) step(ctx context.Context, s Source, doubtful bool, sink func(Event)) (Listing, error) {
 	if !f.listed {
 		l, err := f.call(ctx, f.options.ListTimeout, s.Store.List)
 		if err != nil {
@@ -212,7 +253,7 @@
 	if f.paused {
 		wait = max(wait-f.options.Pause, 0) // Together they are as long as a wait.
 	}
-	if f.list.Doubtful(i) {
+	if doubtful {
 		wait = 0
 	}
 	f.paused = false
@@ -258,19 +299,16 @@
 }
 
 // failed gives up the connection, which may be silent for good.
-func (f *Follower) failed(i int, err error) {
-	s := f.sources[i]
+func (f *Follower) failed(s Source, err error) {
 	s.Store.Disconnect()
-	f.list.Failed(f.clock.Now(), i)
 	f.log.Warn("source does not answer", zap.String("source", s.Name), zap.String("error", err.Error()),
 		zap.Int64("revision", int64(f.revision)))
 }
 
-func (f *Follower) answered(i int) {
-	f.list.Answered(i)
-	if f.current != i {
-		f.log.Info("following source", zap.String("source", f.sources[i].Name), zap.Int64("revision", int64(f.revision)))
-		f.current = i
+func (f *Follower) answered(s Source) {
+	if f.current != s.Name {
+		f.log.Info("following source", zap.String("source", s.Name), zap.Int64("revision", int64(f.revision)))
+		f.current = s.Name
 	}
 }
 
--- a/io/bvfollower/bvfollower_test.go
+++ b/io/bvfollower/bvfollower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -72,12 +73,18 @@
 	return s.disconnected
 }
 
+var (
+	firstNamed  = netip.MustParseAddrPort("192.0.2.1:6082")
+	secondNamed = netip.MustParseAddrPort("192.0.2.2:6082")
+)
+
 // fixture runs a follower of a peer and the store.
 type fixture struct {
 	t        *testing.T
 	clock    *clockwork.FakeClock
 	peer     *fakeStore
 	store    *fakeStore
+	named    map[netip.AddrPort]*fakeStore // Balancers that a source may name.
 	follower *Follower
 	events   chan Event
 	ctx      context.Context
@@ -87,10 +94,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	f := &fixture{
 		t: t, clock: clockwork.NewFakeClock(), peer: newFakeStore(), store: newFakeStore(),
-		events: make(chan Event, 100), ctx: ctx,
+		events: make(chan Event, 100), ctx: ctx, named: map[netip.AddrPort]*fakeStore{},
+	}
+	for _, a := range []netip.AddrPort{firstNamed, secondNamed} {
+		f.named[a] = newFakeStore()
 	}
 	f.follower = New([]Source{{Name: "peer", Store: f.peer}, {Name: "store", Store: f.store, Direct: true}},
-		f.clock, zap.NewNop(), Options{})
+		f.clock, zap.NewNop(), Options{Peer: func(a netip.AddrPort) Source { return Source{Name: a.String(), Store: f.named[a]} }})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -242,3 +252,48 @@
 	c.answer <- answer{listing: Listing{Revision: 6}}
 	assert.EqualValues(t, 6, f.next(other).after)
 }
+
+// TestRedirect guards against a follower that does not follow the balancers
+// that its source names, stays with one that fails, or loses changes on the
+// way.
+func TestRedirect(t *testing.T) {
+	f := newFixture(t)
+	f.listed(5)
+	f.next(f.peer).answer <- answer{err: &Redirect{Others: []netip.AddrPort{firstNamed, secondNamed}}}
+	first, second := f.named[firstNamed], f.named[secondNamed]
+	for revision := bvcatalog.Revision(5); revision < 8; revision++ {
+		c := f.next(first)
+		assert.Equal(t, revision, c.after)
+		c.answer <- answer{listing: Listing{Revision: revision + 1}}
+		<-f.events
+	}
+	f.next(first).answer <- answer{listing: Listing{Revision: 8, Age: 3 * time.Second}}
+	c := f.next(second)
+	assert.EqualValues(t, 8, c.after, "the first one has lost the store")
+	assert.Equal(t, 1, first.count(), "its connection is given up")
+	c.answer <- answer{err: errors.New("refused")}
+	c = f.next(f.store)
+	assert.EqualValues(t, 8, c.after, "all that were named have failed, and so counts the source that named them")
+	c.answer <- answer{listing: Listing{Revision: 9}}
+	assert.EqualValues(t, 9, f.next(f.peer).after, "back at the own sources")
+}
+
+// TestRedirectsEnd guards against a follower that is sent from one balancer to
+// the next for ever.
+func TestRedirectsEnd(t *testing.T) {
+	f := newFixture(t)
+	f.listed(5)
+	for at, n := f.peer, 0; ; n++ {
+		require.Less(t, n, 20)
+		select {
+		case c := <-f.store.calls:
+			assert.EqualValues(t, 5, c.after)
+			return
+		case c := <-at.calls:
+			c.answer <- answer{err: &Redirect{Others: []netip.AddrPort{firstNamed}}}
+			at = f.named[firstNamed]
+		case <-f.ctx.Done():
+			require.Fail(t, "no call")
+		}
+	}
+}
--- a/io/bvfollower/start.go
+++ b/io/bvfollower/start.go
@@ -54,7 +54,8 @@
 		f.started, f.listed, f.revision = true, true, r.listing.Revision
 		f.confirmed(r.listing)
 		sink(Listed{Listing: r.listing})
-		f.answered(r.source)
+		f.list.Answered(r.source)
+		f.answered(f.sources[r.source])
 		return true
 	case <-f.changed:
 	case <-ctx.Done():
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvfanout"
 	"balsamvane/core/bvflow"
 	"balsamvane/core/bvsource"
 	"balsamvane/core/bvtoken"
@@ -95,6 +96,7 @@
 	ready     net.Listener
 	admin     net.Listener
 	control   net.Listener // Nil if no balancer may follow this one.
+	relay     *bvrelay.Server
 	stopping  atomic.Bool
 	lastIn    atomic.Int64 // Nanoseconds since started at which packets came last.
 	started   time.Time
@@ -115,6 +117,7 @@
 		counters:  newCounters(m.Scope),
 		decisions: newDecisionLog(log, clock, m.Scope),
 	}
+	w.relay = bvrelay.NewServer(provider{w}, bvfanout.New(bvfanout.Options{Zone: s.Zone}), clock, bvsource.DefaultMaxAge)
 	if err := w.listen(); err != nil {
 		w.close()
 		return nil, err
@@ -169,7 +172,7 @@
 	p.Go(func(ctx context.Context) error { return bvadmin.New(w.metrics, w.sources()).Serve(ctx, w.admin) })
 	if w.control != nil {
 		p.Go(func(ctx context.Context) error {
-			return bvrelay.NewServer(provider{w}, w.clock, bvsource.DefaultMaxAge).Serve(ctx, w.control)
+			return w.relay.Serve(ctx, w.control)
 		})
 	}
 	p.Go(func(work context.Context) error {
--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvfanout"
 	"balsamvane/core/bvfinding"
 	"balsamvane/core/bvflow"
 	"balsamvane/core/bvtoken"
@@ -249,7 +250,7 @@
 func TestRelay(t *testing.T) {
 	f := newFixture(t, Options{})
 	f.store.set(f.listing(), nil)
-	c := bvrelay.NewClient(portOf(f.forwarder.control))
+	c := bvrelay.NewClient(portOf(f.forwarder.control), bvfanout.Follower{})
 	f.eventually(func() bool {
 		l, err := c.List(context.Background())
 		return err == nil && len(l.Changes) == 2 && l.Revision == 5
--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -3,14 +3,15 @@
 //
 // A watch waits at the serving balancer until there are changes. Each answer
 // says how long ago the store confirmed the state, so that a follower can tell
-// a balancer that has lost the store itself. Calls use connect over HTTP/1.1
+// a balancer that has lost the store itself. A balancer that has enough
+// followers names some of them to a new one (package bvfanout). Calls use connect over HTTP/1.1
 // with a CBOR codec, like those of package bvpeer.
 //
 // # Usage
 //
-//	server := bvrelay.NewServer(provider, clock, bvsource.DefaultMaxAge)
+//	server := bvrelay.NewServer(provider, fanout, clock, bvsource.DefaultMaxAge)
 //	go server.Serve(ctx, listener)
-//	source := bvfollower.Source{Name: "peer", Store: bvrelay.NewClient(address)}
+//	source := bvfollower.Source{Name: "peer", Store: bvrelay.NewClient(address, self)}
 package bvrelay
 
 import (
@@ -49,12 +50,18 @@
 	List  bool   `cbor:"2,keyasint,omitempty"` // All entries, at once.
 	Wait  uint32 `cbor:"3,keyasint,omitempty"`
 	Age   uint64 `cbor:"4,keyasint,omitempty"` // Of what the follower has.
+	// Address and Zone are those of the follower; Address is empty if nobody
+	// can follow it.
+	Address []byte `cbor:"5,keyasint,omitempty"`
+	Zone    string `cbor:"6,keyasint,omitempty"`
 }
 
 type watchAnswer struct {
 	Revision int64        `cbor:"1,keyasint"`
 	Age      uint64       `cbor:"2,keyasint,omitempty"`
 	Changes  []wireChange `cbor:"3,keyasint,omitempty"`
+	// Others are to be followed instead; the answer has nothing else then.
+	Others [][]byte `cbor:"4,keyasint,omitempty"`
 }
 
 // wireChange has one of its fields set.
@@ -128,6 +135,28 @@
 	return out
 }
 
+func encodeRedirect(others []netip.AddrPort) *watchAnswer {
+	out := &watchAnswer{}
+	for _, a := range others {
+		out.Others = append(out.Others, encodeAddress(a))
+	}
+	return out
+}
+
+// redirect returns the error that names the others. Addresses that cannot be
+// decoded are an error of their own.
+func (w *watchAnswer) redirect() error {
+	r := &bvfollower.Redirect{}
+	for _, b := range w.Others {
+		a, err := decodeAddress(b)
+		if err != nil {
+			return err
+		}
+		r.Others = append(r.Others, a)
+	}
+	return r
+}
+
 func encodeChange(c bvcatalog.Change) wireChange {
 	switch v := c.(type) {
 	case bvcatalog.Declared:
--- a/io/bvrelay/bvrelay_test.go
+++ b/io/bvrelay/bvrelay_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvfanout"
 	"balsamvane/io/bvcodec"
 	"balsamvane/io/bvfollower"
 
@@ -105,16 +106,21 @@
 
 // serve starts a server on the loopback network.
 func serve(t *testing.T, p Provider, clock clockwork.Clock) *Client {
+	return NewClient(serveTo(t, p, clock, bvfanout.Options{}), bvfanout.Follower{})
+}
+
+// serveTo starts a server with bounds on its followers.
+func serveTo(t *testing.T, p Provider, clock clockwork.Clock, o bvfanout.Options) netip.AddrPort {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- NewServer(p, clock, 1800*time.Millisecond).Serve(ctx, l) }()
+	go func() { done <- NewServer(p, bvfanout.New(o), clock, 1800*time.Millisecond).Serve(ctx, l) }()
 	t.Cleanup(func() {
 		cancel()
 		assert.NoError(t, <-done)
 	})
-	return NewClient(l.Addr().(*net.TCPAddr).AddrPort())
+	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // TestFollow guards against a follower that misses changes, is told of none at
@@ -190,6 +196,33 @@
 	assert.Zero(t, l.Age, "the state is confirmed while the watch waits")
 }
 
+// TestRedirect guards against a balancer with more followers than it can bear,
+// and against one that sends a follower away that it has taken.
+func TestRedirect(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	p := newFakeProvider()
+	p.catalog.Replace(time.Unix(0, 0), 0, 7, allChanges[:1])
+	server := serveTo(t, p, clockwork.NewRealClock(), bvfanout.Options{Zone: "a", OtherZone: 1})
+	client := func(address string) *Client {
+		return NewClient(server, bvfanout.Follower{Address: netip.MustParseAddrPort(address), Zone: "b"})
+	}
+	first, second := client("192.0.2.1:6082"), client("192.0.2.2:6082")
+	position := bvfollower.Position{Revision: 7}
+	_, err := first.Watch(ctx, position, 0)
+	require.NoError(t, err)
+	_, err = second.Watch(ctx, position, 0)
+	var r *bvfollower.Redirect
+	require.ErrorAs(t, err, &r)
+	assert.Equal(t, []netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:6082")}, r.Others)
+	_, err = first.Watch(ctx, position, 0)
+	require.NoError(t, err)
+	l, err := second.List(ctx)
+	require.NoError(t, err, "a first listing is answered to everybody")
+	assert.NotEmpty(t, l.Changes)
+	assert.ErrorIs(t, (&watchAnswer{Others: [][]byte{{1, 2}}}).redirect(), ErrChange)
+}
+
 // FuzzAnswer guards against a panic for any bytes that a peer sends.
 func FuzzAnswer(f *testing.F) {
 	c := bvcodec.New()
--- a/io/bvrelay/client.go
+++ b/io/bvrelay/client.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"balsamvane/core/bvfanout"
 	"balsamvane/io/bvcodec"
 	"balsamvane/io/bvfollower"
 
@@ -23,18 +24,20 @@
 
 // Client follows one balancer. It implements [bvfollower.Store].
 type Client struct {
+	self      bvfanout.Follower
 	transport *http.Transport
 	call      *connect.Client[watchRequest, watchAnswer]
 }
 
 // NewClient returns a client of the balancer whose control address is given.
-func NewClient(control netip.AddrPort) *Client {
+// self is the balancer that follows.
+func NewClient(control netip.AddrPort, self bvfanout.Follower) *Client {
 	t := &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost: 2,
 	}
 	return &Client{
-		transport: t,
+		self: self, transport: t,
 		call: connect.NewClient[watchRequest, watchAnswer](&http.Client{Transport: t}, "http://"+control.String()+procedureWatch,
 			connect.WithCodec(bvcodec.New()), connect.WithReadMaxBytes(maxAnswer)),
 	}
@@ -49,9 +52,13 @@
 
 // Watch waits for changes after a revision.
 func (c *Client) Watch(ctx context.Context, after bvfollower.Position, wait time.Duration) (bvfollower.Listing, error) {
-	return c.ask(ctx, &watchRequest{
-		After: int64(after.Revision), Wait: uint32(wait.Milliseconds()), Age: milliseconds(after.Age),
-	})
+	q := &watchRequest{
+		After: int64(after.Revision), Wait: uint32(wait.Milliseconds()), Age: milliseconds(after.Age), Zone: c.self.Zone,
+	}
+	if c.self.Address.IsValid() {
+		q.Address = encodeAddress(c.self.Address)
+	}
+	return c.ask(ctx, q)
 }
 
 func (c *Client) ask(ctx context.Context, q *watchRequest) (bvfollower.Listing, error) {
@@ -62,6 +69,9 @@
 	if err != nil {
 		return bvfollower.Listing{}, eris.Wrap(err, "bvrelay: asking a peer")
 	}
+	if len(a.Msg.Others) > 0 {
+		return bvfollower.Listing{}, a.Msg.redirect()
+	}
 	return a.Msg.decode()
 }
 
--- a/io/bvrelay/server.go
+++ b/io/bvrelay/server.go
@@ -5,9 +5,12 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
+	"sync"
 	"time"
 
 	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvfanout"
 	"balsamvane/io/bvcodec"
 	"balsamvane/io/bvfollower"
 	"balsamvane/io/bvhttp"
@@ -33,12 +36,23 @@
 	clock    clockwork.Clock
 	maxAge   time.Duration
 	watches  chan struct{}
+
+	mu     sync.Mutex // Guards fanout.
+	fanout *bvfanout.Fanout
+}
+
+// NewServer returns a server that answers with what provider knows, to the
+// followers that fanout takes. A watch ends when that is older than maxAge, so
+// that followers turn to others.
+func NewServer(p Provider, fanout *bvfanout.Fanout, clock clockwork.Clock, maxAge time.Duration) *Server {
+	return &Server{provider: p, fanout: fanout, clock: clock, maxAge: maxAge, watches: make(chan struct{}, maxWatches)}
 }
 
-// NewServer returns a server that answers with what provider knows. A watch
-// ends when that is older than maxAge, so that followers turn to others.
-func NewServer(p Provider, clock clockwork.Clock, maxAge time.Duration) *Server {
-	return &Server{provider: p, clock: clock, maxAge: maxAge, watches: make(chan struct{}, maxWatches)}
+// Followers returns the number of balancers that follow this one.
+func (s *Server) Followers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fanout.Len(s.clock.Now())
 }
 
 // Serve answers calls from l until ctx ends.
@@ -63,6 +77,13 @@
 		}
 		return connect.NewResponse(encode(l)), nil
 	}
+	others, err := s.place(r.Msg)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	if len(others) > 0 {
+		return connect.NewResponse(encodeRedirect(others)), nil
+	}
 	l, ok := s.wait(ctx, r.Msg)
 	if !ok {
 		return nil, connect.NewError(connect.CodeOutOfRange, bvfollower.ErrCompacted)
@@ -70,6 +91,21 @@
 	return connect.NewResponse(encode(l)), nil
 }
 
+// place returns the balancers that the sender of q is to follow instead.
+func (s *Server) place(q *watchRequest) ([]netip.AddrPort, error) {
+	x := bvfanout.Follower{Zone: q.Zone}
+	if len(q.Address) > 0 {
+		a, err := decodeAddress(q.Address)
+		if err != nil {
+			return nil, err
+		}
+		x.Address = a
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fanout.Ask(s.clock.Now(), x), nil
+}
+
 // wait returns the changes after a revision as soon as there are some, and none
 // when the store has confirmed the state since the follower's, when that is too old, or at the
 // end of the wait. Followers so have a state that is hardly older than this
