--- a/core/bvtoken/crash_test.go
+++ b/core/bvtoken/crash_test.go
@@ -68,3 +68,35 @@
 	assert.Zero(t, failed, "requests that were refused at each try")
 	assert.LessOrEqual(t, refused, 8, "two for the finding, four more within its time, one for each trial")
 }
+
+// TestDistantCallers guards against upstreams that are left out although they
+// answer: pattern of callers whose round trip is longer than the usual timeout
+// of a handshake, of which some repeat their opening.
+func TestDistantCallers(t *testing.T) {
+	const roundTrip = 180 * time.Millisecond
+	f := newFixture(11, 12, 13, 14)
+	type open struct {
+		flow *flow
+		at   time.Time
+	}
+	var waiting []open
+	leftOut := 0
+	for i := range 400 {
+		x := f.caller(feeds)
+		if f.open(x); i > 100 {
+			for id := range f.router.targets {
+				if f.router.limiter.Silent(id) {
+					leftOut++
+				}
+			}
+		}
+		waiting = append(waiting, open{x, f.now.Add(roundTrip)})
+		f.pass(5 * time.Millisecond)
+		for len(waiting) > 0 && !waiting[0].at.After(f.now) {
+			f.request(waiting[0].flow, false)
+			f.answer(waiting[0].flow)
+			waiting = waiting[1:]
+		}
+	}
+	assert.Zero(t, leftOut)
+}
