--- a/core/bvroute/differential_test.go
+++ b/core/bvroute/differential_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -26,11 +27,12 @@
 	for _, c := range h.order {
 		if u, ok := h.naive[c]; ok {
 			c.upstream = u
-			ok := h.alive(c)
+			d := h.send(c, bvflow.PhaseEstablished, 100)
+			ok := d.Verdict == VerdictUpstream && d.Upstream == u || d.Verdict == VerdictDrop && h.unheardOf(u)
 			if !ok {
 				h.explain(c)
 			}
-			require.True(h, ok, "flow %v of %s", c.Source, h.names[u])
+			require.True(h, ok, "flow %v of %s: %+v", c.Source, h.names[u], d)
 		}
 	}
 }
@@ -61,7 +63,6 @@
 	if h.inZone(n.Zone) < 3 {
 		t.Skip("the zone needs two balancers")
 	}
-	h.shareConfig(n)
 	h.sweep()
 	h.fleet.kill(n)
 }
@@ -71,19 +72,18 @@
 	if h.inZone(n.Zone) < 3 {
 		t.Skip("the zone needs two balancers")
 	}
-	h.shareConfig(n)
 	h.fleet.leave(n)
 }
 
-// shareConfig brings the newest configuration to all nodes if only n has it:
-// where no node knows an upstream's address, its flows have to wait.
-func (h *history) shareConfig(n *balancer) {
-	for _, o := range h.nodes {
-		if o != n && o.config.Version.Compare(n.config.Version) >= 0 {
-			return
+// unheardOf reports whether no node knows an upstream: the only ones that had
+// the configuration with it are gone. Its flows have to wait then.
+func (h *history) unheardOf(u bvconfig.UpstreamID) bool {
+	for _, n := range h.nodes {
+		if slices.ContainsFunc(n.config.Upstreams, func(x bvconfig.Upstream) bool { return x.ID() == u }) {
+			return false
 		}
 	}
-	h.roll(1)
+	return true
 }
 
 func (h *history) inZone(zone string) (n int) {
