--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -71,7 +71,9 @@
 // Store is something to follow. Its calls end with their context. After
 // Disconnect calls use new connections.
 type Store interface {
-	List(ctx context.Context) (Listing, error)
+	// List reads all entries. It calls part after each part that it has read
+	// of a listing that comes in several.
+	List(ctx context.Context, part func()) (Listing, error)
 	Watch(ctx context.Context, after Position, wait time.Duration) (Listing, error)
 	Disconnect()
 }
@@ -240,7 +242,9 @@
 // step makes one call to a source. A doubtful source is asked for a quick answer.
 func (f *Follower) step(ctx context.Context, s Source, doubtful bool, sink func(Event)) (Listing, error) {
 	if !f.listed {
-		l, err := f.call(ctx, f.options.ListTimeout, s.Store.List)
+		l, err := f.call(ctx, f.options.ListTimeout, func(ctx context.Context) (Listing, error) {
+			return s.Store.List(ctx, func() {})
+		})
 		if err != nil {
 			return l, err
 		}
--- a/io/bvfollower/bvfollower_test.go
+++ b/io/bvfollower/bvfollower_test.go
@@ -19,6 +19,7 @@
 // call is one call that a fake store got; its answer is sent to it.
 type call struct {
 	list   bool
+	part   func() // Reports a part of a listing.
 	after  bvcatalog.Revision
 	age    time.Duration
 	wait   time.Duration
@@ -55,7 +56,9 @@
 	}
 }
 
-func (s *fakeStore) List(ctx context.Context) (Listing, error) { return s.ask(ctx, call{list: true}) }
+func (s *fakeStore) List(ctx context.Context, part func()) (Listing, error) {
+	return s.ask(ctx, call{list: true, part: part})
+}
 
 func (s *fakeStore) Watch(ctx context.Context, after Position, wait time.Duration) (Listing, error) {
 	return s.ask(ctx, call{after: after.Revision, age: after.Age, wait: wait})
@@ -191,18 +194,21 @@
 // is served meanwhile.
 func TestFirstListing(t *testing.T) {
 	old := Listing{Revision: 3, Age: time.Minute}
-	tests := map[string]func(f *fixture){
-		"store is down":   func(f *fixture) { f.next(f.store).answer <- answer{err: errors.New("down")} },
-		"store is silent": func(f *fixture) { f.next(f.store) },
+	tests := map[string]struct {
+		fail func(f *fixture)
+		most time.Duration // Until a seed is asked, with the steps of the fixture.
+	}{
+		"store is down":   {func(f *fixture) { f.next(f.store).answer <- answer{err: errors.New("down")} }, 100 * time.Millisecond},
+		"store is silent": {func(f *fixture) { f.next(f.store) }, 500 * time.Millisecond},
 	}
-	for name, fail := range tests {
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
-			started := f.clock.Now()
-			fail(f)
+			tt.fail(f)
+			failed := f.clock.Now()
 			c := f.next(f.peer)
 			assert.True(t, c.list)
-			assert.LessOrEqual(t, f.clock.Since(started), 500*time.Millisecond)
+			assert.LessOrEqual(t, f.clock.Since(failed), tt.most)
 			c.answer <- answer{listing: old}
 			assert.Equal(t, Listed{old}, <-f.events, "an old state is better than none")
 			assert.EqualValues(t, 3, f.next(f.peer).after)
@@ -217,6 +223,52 @@
 	})
 }
 
+// TestFirstListingInParts guards against whole listings that are asked from
+// other balancers while the store sends its own, part by part: pattern of a
+// large fleet that starts at the same moment.
+func TestFirstListingInParts(t *testing.T) {
+	f := newFixture(t)
+	c := f.next(f.store)
+	for range 20 {
+		require.NoError(t, f.clock.BlockUntilContext(f.ctx, 1))
+		f.clock.Advance(100 * time.Millisecond)
+		c.part()
+		select {
+		case <-f.peer.calls:
+			require.Fail(t, "asked")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	started := f.clock.Now()
+	assert.True(t, f.next(f.peer).list, "no part came for some time")
+	assert.LessOrEqual(t, f.clock.Since(started), 500*time.Millisecond)
+}
+
+// TestFirstListingOneAfterTheOther guards against listings from several
+// balancers at once, of which one is used.
+func TestFirstListingOneAfterTheOther(t *testing.T) {
+	var stores []*fakeStore
+	var sources []Source
+	for range 3 {
+		s := newFakeStore()
+		stores = append(stores, s)
+		sources = append(sources, Source{Name: "peer", Store: s})
+	}
+	f := newFixture(t)
+	f.next(f.store)
+	f.follower.SetSources(append(sources, Source{Name: "store", Store: newFakeStore(), Direct: true}))
+	f.next(stores[0])
+	select {
+	case <-stores[1].calls:
+		require.Fail(t, "asked at the same time")
+	case <-time.After(20 * time.Millisecond):
+	}
+	started := f.clock.Now()
+	f.next(stores[1])
+	assert.LessOrEqual(t, f.clock.Since(started), 500*time.Millisecond)
+	f.next(stores[2])
+}
+
 // TestFirstListingRetries guards against a start that finds the store a long
 // time after that is back.
 func TestFirstListingRetries(t *testing.T) {
@@ -261,6 +313,9 @@
 	f.listed(5)
 	f.next(f.peer).answer <- answer{err: &Redirect{Others: []netip.AddrPort{firstNamed, secondNamed}}}
 	first, second := f.named[firstNamed], f.named[secondNamed]
+	f.next(first).answer <- answer{listing: Listing{Revision: 5}}
+	<-f.events
+	assert.Equal(t, 1, f.peer.count(), "the connection to the source that named them is not kept")
 	for revision := bvcatalog.Revision(5); revision < 8; revision++ {
 		c := f.next(first)
 		assert.Equal(t, revision, c.after)
--- a/io/bvfollower/named.go
+++ b/io/bvfollower/named.go
@@ -49,6 +49,7 @@
 		f.list.Failed(f.clock.Now(), by)
 		return
 	}
+	s.Store.Disconnect()
 	f.log.Info("source names others to follow", zap.String("source", s.Name), zap.Stringers("others", r.Others))
 	f.named = named{by: by, depth: depth}
 	for _, a := range r.Others {
--- a/io/bvfollower/start.go
+++ b/io/bvfollower/start.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"balsamvane/core/bvretry"
@@ -11,9 +13,9 @@
 )
 
 const (
-	// hedgeDelay is how long the store has for the first listing before the
-	// other sources are asked as well. A store that is well answers in
-	// milliseconds, a slow one in 100 to 250 ms.
+	// hedgeDelay is how long no part of a first listing may come before one
+	// more source is asked. A store that is well answers in milliseconds, a
+	// slow one in 100 to 250 ms.
 	hedgeDelay = 300 * time.Millisecond
 	// firstRetry and mostRetry bound the delay after a failed first listing.
 	// They are short, since nothing is served meanwhile.
@@ -27,62 +29,119 @@
 	listing Listing
 }
 
+// progress is when a part of a first listing came last.
+type progress struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (p *progress) made(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.at = now
+}
+
+// left returns how much longer than now nothing may come.
+func (p *progress) left(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return hedgeDelay - now.Sub(p.at)
+}
+
 // begin reads the first listing from the source that answers first: until a
 // balancer knows its upstreams it serves nothing. The store is asked at once;
 // when all balancers start together, the others know nothing yet or are still
-// down. It reports whether a listing was read; if not, ctx has ended or there
-// are new sources.
-func (f *Follower) begin(ctx context.Context, sink func(Event)) bool {
+// down. One more source is asked whenever one has failed or nothing has come
+// for some time. It returns when a listing was read, ctx has ended or there are new sources.
+func (f *Follower) begin(ctx context.Context, sink func(Event)) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan found, len(f.sources))
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	for i, s := range f.sources {
-		wg.Go(func() {
-			if !s.Direct && !f.sleep(ctx, hedgeDelay) {
-				return
-			}
-			if l, ok := f.firstListing(ctx, i); ok {
-				results <- found{i, l}
+	defer cancel()
+	results := make(chan found, len(f.sources))
+	failed := make(chan struct{}, len(f.sources))
+	p := &progress{at: f.clock.Now()}
+	order := f.firstOrder()
+	for asked := 0; ; {
+		var next <-chan time.Time
+		if asked < len(order) {
+			left := p.left(f.clock.Now())
+			if asked == 0 || left <= 0 {
+				i := order[asked]
+				wg.Go(func() { f.firstListing(ctx, i, p, results, failed) })
+				asked++
+				p.made(f.clock.Now())
+				continue
 			}
-		})
+			next = f.clock.After(left)
+		}
+		select {
+		case r := <-results:
+			f.began(r, sink)
+			return
+		case <-next:
+		case <-failed:
+			p.made(time.Time{})
+		case <-f.changed:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
-	defer cancel() // Before wg.Wait.
-	select {
-	case r := <-results:
-		f.started, f.listed, f.revision = true, true, r.listing.Revision
-		f.confirmed(r.listing)
-		sink(Listed{Listing: r.listing})
-		f.list.Answered(r.source)
-		f.answered(f.sources[r.source])
-		return true
-	case <-f.changed:
-	case <-ctx.Done():
+}
+
+// firstOrder returns the sources in the order for the first listing, the store
+// first.
+func (f *Follower) firstOrder() []int {
+	var order []int
+	for i := range f.sources {
+		order = append(order, i)
 	}
-	return false
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch {
+		case f.sources[a].Direct == f.sources[b].Direct:
+			return 0
+		case f.sources[a].Direct:
+			return -1
+		}
+		return 1
+	})
+	return order
+}
+
+// began takes over the first listing.
+func (f *Follower) began(r found, sink func(Event)) {
+	f.started, f.listed, f.revision = true, true, r.listing.Revision
+	f.confirmed(r.listing)
+	sink(Listed{Listing: r.listing})
+	f.list.Answered(r.source)
+	f.answered(f.sources[r.source])
 }
 
 // firstListing lists a source until it answers or ctx ends. It logs the first
 // failure only: while the store is down, each source fails several times a
 // second.
-func (f *Follower) firstListing(ctx context.Context, i int) (Listing, bool) {
+func (f *Follower) firstListing(ctx context.Context, i int, p *progress, results chan<- found, failed chan<- struct{}) {
 	s := f.sources[i]
 	backoff := bvretry.NewBackoff(firstRetry, mostRetry, f.options.Seed+uint64(i))
 	for failures := 0; ; failures++ {
-		l, err := f.bounded(ctx, f.options.ListTimeout, s.Store.List)
+		l, err := f.bounded(ctx, f.options.ListTimeout, func(ctx context.Context) (Listing, error) {
+			return s.Store.List(ctx, func() { p.made(f.clock.Now()) })
+		})
 		if err == nil {
-			return l, true
+			results <- found{i, l}
+			return
 		}
 		if ctx.Err() != nil {
-			return l, false
+			return
 		}
 		s.Store.Disconnect()
 		if failures == 0 {
+			failed <- struct{}{}
 			f.log.Warn("source does not answer at the start", zap.String("source", s.Name), zap.String("error", err.Error()))
 		}
 		if !f.sleep(ctx, backoff.Next()) {
-			return l, false
+			return
 		}
 	}
 }
--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -77,7 +77,7 @@
 	s.listing, s.err = l, err
 }
 
-func (s *fakeStore) List(context.Context) (bvfollower.Listing, error) {
+func (s *fakeStore) List(context.Context, func()) (bvfollower.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.listing, s.err
@@ -252,7 +252,7 @@
 	f.store.set(f.listing(), nil)
 	c := bvrelay.NewClient(portOf(f.forwarder.control), bvfanout.Follower{})
 	f.eventually(func() bool {
-		l, err := c.List(context.Background())
+		l, err := c.List(context.Background(), func() {})
 		return err == nil && len(l.Changes) == 2 && l.Revision == 5
 	})
 	l, err := c.Watch(context.Background(), bvfollower.Position{Revision: 5}, 0)
--- a/io/bvrelay/client.go
+++ b/io/bvrelay/client.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// List returns all that the balancer knows.
-func (c *Client) List(ctx context.Context) (bvfollower.Listing, error) {
+// List returns all that the balancer knows, in one part.
+func (c *Client) List(ctx context.Context, _ func()) (bvfollower.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	return c.ask(ctx, &watchRequest{List: true})
