--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -213,12 +213,13 @@
 	c.rebuild()
 }
 
-// Tick lets the settle time and the memory of gone upstreams end.
+// Tick lets the memory of gone upstreams end, and the settle time once the
+// platform has answered after it.
 func (c *Catalog) Tick(now time.Time) {
-	changed := false
+	changed, settled := false, c.Settled()
 	for id, e := range c.entries {
 		switch {
-		case e.missing && !e.gone && !now.Before(c.settled):
+		case e.missing && !e.gone && settled:
 			e.gone, e.goneAt, changed = true, now, true
 		case e.gone && now.Sub(e.goneAt) > c.options.Remember:
 			delete(c.entries, id)
--- a/core/bvcatalog/catalog_test.go
+++ b/core/bvcatalog/catalog_test.go
@@ -104,6 +104,7 @@
 						c.Apply(now.Add(time.Second), 0, 13, []Change{put(13, 2)})
 					}
 					c.Answered(now.Add(2*time.Second), 0)
+					c.Answered(now.Add(3*time.Second), 0)
 					c.Tick(now.Add(3 * time.Second))
 					assert.Len(t, ids(c), tt.later)
 				})
@@ -278,3 +279,22 @@
 	assert.True(t, ok)
 	assert.Len(t, cs, 5)
 }
+
+// TestContactLostBeforeSettled guards against upstreams that are taken for gone
+// by a balancer which cannot have heard that they registered again: pattern of
+// a zone that is cut off right after an outage of the platform.
+func TestContactLostBeforeSettled(t *testing.T) {
+	c := listed(Options{})
+	back := 6 * time.Second
+	c.Apply(at(back), 0, 20, []Change{UpstreamGone{Revision: 12, ID: 1}, UpstreamGone{Revision: 13, ID: 2}})
+	c.Apply(at(back+time.Second), 0, 21, []Change{put(21, 2)})
+	c.Tick(at(back + 10*time.Second))
+	assert.Equal(t, []bvconfig.UpstreamID{1, 2}, ids(c), "nothing was heard since")
+	c.Answered(at(back+11*time.Second), 0)
+	c.Tick(at(back + 12*time.Second))
+	assert.Equal(t, []bvconfig.UpstreamID{1, 2}, ids(c), "the platform may only just be back")
+	c.Answered(at(back+12500*time.Millisecond), 0)
+	c.Answered(at(back+14*time.Second), 0)
+	c.Tick(at(back + 14*time.Second))
+	assert.Equal(t, []bvconfig.UpstreamID{2}, ids(c))
+}
