--- a/cmd/balsamvane/run.go
+++ b/cmd/balsamvane/run.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"balsamvane/core/bvconfig"
@@ -106,6 +107,7 @@
 	store := bvfollower.Source{Name: "store", Direct: true, Store: platform.NewStore(s.Platform.Addresses[0], clock, log, calls)}
 	follower := bvfollower.New(sources(s, store), clock, log, bvfollower.Options{
 		Seed: uint64(bvconfig.NodeIDOf(s.Node)),
+		Self: s.Listen.Control,
 		Peer: func(a netip.AddrPort) bvfollower.Source { return peer(s, a) },
 	})
 	return bvforwarder.New(s, clock, log, metrics, platform.Codec{}, follower, bvforwarder.Options{
@@ -117,9 +119,14 @@
 	})
 }
 
-// peer returns the balancer with a control address as a source.
+// peer returns the balancer with a control address as a source. Seeds don't
+// say where they can be followed: another seed then takes them as followers
+// whatever it has, in place of naming balancers that may follow them.
 func peer(s bvsettings.Settings, a netip.AddrPort) bvfollower.Source {
-	self := bvfanout.Follower{Address: s.Listen.Control, Zone: s.Zone}
+	self := bvfanout.Follower{Zone: s.Zone}
+	if !slices.Contains(s.Seeds, s.Listen.Control) {
+		self.Address = s.Listen.Control
+	}
 	return bvfollower.Source{Name: a.String(), Store: bvrelay.NewClient(a, self)}
 }
 
@@ -129,10 +136,9 @@
 func sources(s bvsettings.Settings, store bvfollower.Source) []bvfollower.Source {
 	var peers []bvfollower.Source
 	var cs []bvpick.Candidate
-	isSeed := false
+	isSeed := slices.Contains(s.Seeds, s.Listen.Control)
 	for _, a := range s.Seeds {
 		if a == s.Listen.Control {
-			isSeed = true
 			continue
 		}
 		peers = append(peers, peer(s, a))
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -25,6 +25,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,12 +53,18 @@
 // errOld is a failure of a source that has lost its own source.
 var errOld = errors.New("bvfollower: source has not heard of the store for too long")
 
+// errCycle is a failure of a source that follows this balancer itself.
+var errCycle = errors.New("bvfollower: source follows this balancer")
+
 // Listing holds all entries, or the changes up to a revision.
 type Listing struct {
 	Revision bvcatalog.Revision
 	Changes  []bvcatalog.Change
 	// Age is how long ago the store answered that this is complete.
 	Age time.Duration
+	// Path are the control addresses of the balancers that this came through,
+	// that of the source last; it is empty if the source is the store.
+	Path []netip.AddrPort
 }
 
 // Position is what a follower has already.
@@ -100,6 +107,8 @@
 	// that changes in quick succession come in one answer; 300 ms.
 	Pause time.Duration
 	Seed  uint64 // Of the jitter.
+	// Self is the own control address.
+	Self netip.AddrPort
 	// Peer returns the balancer with a control address as a source, for
 	// balancers that a source names. Without it they are not followed.
 	Peer func(netip.AddrPort) Source
@@ -138,6 +147,7 @@
 	mu      sync.Mutex
 	next    []Source      // Sources to take over; nil if none have been set.
 	changed chan struct{} // Holds a value when next has been set.
+	path    []netip.AddrPort
 
 	started  bool // A first listing was read.
 	listed   bool
@@ -279,21 +289,39 @@
 	return l, nil
 }
 
-// confirmed takes note of when the store has confirmed an answer.
+// Path returns the control addresses of the balancers that the state comes
+// through, that of the source last.
+func (f *Follower) Path() []netip.AddrPort {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.path
+}
+
+// confirmed takes note of when the store has confirmed an answer, and of the
+// way that it came.
 func (f *Follower) confirmed(l Listing) {
+	f.mu.Lock()
+	f.path = l.Path
+	f.mu.Unlock()
 	if at := f.clock.Now().Add(-l.Age); at.After(f.contact) {
 		f.contact = at
 	}
 }
 
-// call makes a bounded call. An answer that is too old is a failure, but a
-// listing is used whatever its age: it is better than none.
+// call makes a bounded call. An answer that is too old, or that this balancer
+// has given itself, is a failure, but a listing is used in any case: it is
+// better than none.
 func (f *Follower) call(ctx context.Context, limit time.Duration, do func(context.Context) (Listing, error)) (Listing, error) {
 	l, err := f.bounded(ctx, limit, do)
-	if err == nil && f.listed && !f.list.Recent(l.Age) {
+	switch {
+	case err != nil || !f.listed:
+		return l, err
+	case !f.list.Recent(l.Age):
 		return l, eris.Wrapf(errOld, "age %s", l.Age)
+	case slices.Contains(l.Path, f.options.Self):
+		return l, eris.Wrapf(errCycle, "path %v", l.Path)
 	}
-	return l, err
+	return l, nil
 }
 
 func (f *Follower) bounded(ctx context.Context, limit time.Duration, do func(context.Context) (Listing, error)) (Listing, error) {
--- a/io/bvfollower/bvfollower_test.go
+++ b/io/bvfollower/bvfollower_test.go
@@ -79,6 +79,7 @@
 var (
 	firstNamed  = netip.MustParseAddrPort("192.0.2.1:6082")
 	secondNamed = netip.MustParseAddrPort("192.0.2.2:6082")
+	self        = netip.MustParseAddrPort("192.0.2.3:6082")
 )
 
 // fixture runs a follower of a peer and the store.
@@ -103,7 +104,7 @@
 		f.named[a] = newFakeStore()
 	}
 	f.follower = New([]Source{{Name: "peer", Store: f.peer}, {Name: "store", Store: f.store, Direct: true}},
-		f.clock, zap.NewNop(), Options{Peer: func(a netip.AddrPort) Source { return Source{Name: a.String(), Store: f.named[a]} }})
+		f.clock, zap.NewNop(), Options{Self: self, Peer: func(a netip.AddrPort) Source { return Source{Name: a.String(), Store: f.named[a]} }})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -352,3 +353,21 @@
 		}
 	}
 }
+
+// TestCycle guards against balancers that follow each other and take each
+// other's state for recent: pattern of a seed that lost the store, asked
+// another one, and was sent to balancers that follow it.
+func TestCycle(t *testing.T) {
+	f := newFixture(t)
+	f.listed(5)
+	far := netip.MustParseAddrPort("192.0.2.9:6082")
+	f.next(f.peer).answer <- answer{listing: Listing{Revision: 5, Path: []netip.AddrPort{far, self, firstNamed}}}
+	f.next(f.store).answer <- answer{listing: Listing{Revision: 6}}
+	<-f.events
+	assert.Empty(t, f.follower.Path(), "the store")
+	path := []netip.AddrPort{far, firstNamed}
+	f.next(f.peer).answer <- answer{listing: Listing{Revision: 7, Path: path}}
+	<-f.events
+	f.next(f.peer)
+	assert.Equal(t, path, f.follower.Path())
+}
--- a/io/bvforwarder/provider.go
+++ b/io/bvforwarder/provider.go
@@ -1,6 +1,9 @@
 package bvforwarder
 
 import (
+	"slices"
+	"time"
+
 	"balsamvane/core/bvcatalog"
 	"balsamvane/io/bvfollower"
 )
@@ -14,9 +17,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clock.Now()
-	return bvfollower.Listing{
-		Revision: w.catalog.Revision(), Age: w.catalog.Age(now), Changes: w.catalog.All(now),
-	}, w.catalog.Complete()
+	return p.listing(now, w.catalog.All(now)), w.catalog.Complete()
 }
 
 // Since implements bvrelay.Provider.
@@ -25,7 +26,17 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	cs, ok := w.catalog.Since(after)
-	return bvfollower.Listing{Revision: w.catalog.Revision(), Age: w.catalog.Age(w.clock.Now()), Changes: cs}, ok
+	return p.listing(w.clock.Now(), cs), ok
+}
+
+// listing returns changes with the state of the catalog and the way that it
+// came. The caller holds the forwarder's mutex.
+func (p provider) listing(now time.Time, cs []bvcatalog.Change) bvfollower.Listing {
+	w := p.forwarder
+	return bvfollower.Listing{
+		Revision: w.catalog.Revision(), Age: w.catalog.Age(now), Changes: cs,
+		Path: append(slices.Clone(w.follower.Path()), w.settings.Listen.Control),
+	}
 }
 
 // Changed implements bvrelay.Provider.
--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -62,6 +62,7 @@
 	Changes  []wireChange `cbor:"3,keyasint,omitempty"`
 	// Others are to be followed instead; the answer has nothing else then.
 	Others [][]byte `cbor:"4,keyasint,omitempty"`
+	Path   [][]byte `cbor:"5,keyasint,omitempty"`
 }
 
 // wireChange has one of its fields set.
@@ -128,7 +129,7 @@
 }
 
 func encode(l bvfollower.Listing) *watchAnswer {
-	out := &watchAnswer{Revision: int64(l.Revision), Age: milliseconds(l.Age)}
+	out := &watchAnswer{Revision: int64(l.Revision), Age: milliseconds(l.Age), Path: encodeAddresses(l.Path)}
 	for _, c := range l.Changes {
 		out.Changes = append(out.Changes, encodeChange(c))
 	}
@@ -136,25 +137,17 @@
 }
 
 func encodeRedirect(others []netip.AddrPort) *watchAnswer {
-	out := &watchAnswer{}
-	for _, a := range others {
-		out.Others = append(out.Others, encodeAddress(a))
-	}
-	return out
+	return &watchAnswer{Others: encodeAddresses(others)}
 }
 
 // redirect returns the error that names the others. Addresses that cannot be
 // decoded are an error of their own.
 func (w *watchAnswer) redirect() error {
-	r := &bvfollower.Redirect{}
-	for _, b := range w.Others {
-		a, err := decodeAddress(b)
-		if err != nil {
-			return err
-		}
-		r.Others = append(r.Others, a)
+	others, err := decodeAddresses(w.Others)
+	if err != nil {
+		return err
 	}
-	return r
+	return &bvfollower.Redirect{Others: others}
 }
 
 func encodeChange(c bvcatalog.Change) wireChange {
@@ -197,7 +190,11 @@
 }
 
 func (w *watchAnswer) decode() (bvfollower.Listing, error) {
-	out := bvfollower.Listing{Revision: bvcatalog.Revision(w.Revision), Age: duration(w.Age)}
+	path, err := decodeAddresses(w.Path)
+	if err != nil {
+		return bvfollower.Listing{}, err
+	}
+	out := bvfollower.Listing{Revision: bvcatalog.Revision(w.Revision), Age: duration(w.Age), Path: path}
 	for _, x := range w.Changes {
 		c, err := x.decode()
 		if err != nil {
@@ -271,6 +268,24 @@
 	return b
 }
 
+func encodeAddresses(as []netip.AddrPort) (out [][]byte) {
+	for _, a := range as {
+		out = append(out, encodeAddress(a))
+	}
+	return out
+}
+
+func decodeAddresses(bs [][]byte) (out []netip.AddrPort, err error) {
+	for _, b := range bs {
+		a, err := decodeAddress(b)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
 func decodeAddress(b []byte) (netip.AddrPort, error) {
 	var a netip.AddrPort
 	if err := a.UnmarshalBinary(b); err != nil || !a.IsValid() {
--- a/io/bvrelay/bvrelay_test.go
+++ b/io/bvrelay/bvrelay_test.go
@@ -79,7 +79,10 @@
 // TestCodec guards against changes that arrive as something else.
 func TestCodec(t *testing.T) {
 	c := bvcodec.New()
-	l := bvfollower.Listing{Revision: 7, Age: 1200 * time.Millisecond, Changes: allChanges}
+	l := bvfollower.Listing{
+		Revision: 7, Age: 1200 * time.Millisecond, Changes: allChanges,
+		Path: []netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:6082"), netip.MustParseAddrPort("[2001:db8::2]:6082")},
+	}
 	b, err := c.Marshal(encode(l))
 	require.NoError(t, err)
 	var a watchAnswer
