--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -120,6 +120,7 @@
 // target is an upstream as the router sees it.
 type target struct {
 	entry    *bvcatalog.Entry
+	zone     *zoneSigns
 	load     load
 	signs    signs
 	inZone   bool
@@ -152,7 +153,7 @@
 	unknowns   map[bvcatalog.Token]time.Time // When a token without upstream was seen first.
 	placement  uint64
 	evidence   evidence
-	zoneAnswer time.Time // Last answer of an upstream in the own zone.
+	zones      map[string]*zoneSigns
 }
 
 // New returns a router that decides by the catalog, which its user keeps up to
@@ -164,7 +165,7 @@
 		limiter: bvlimit.New(bvlimit.Options{EjectFraction: 1}),
 		hasher:  bvflow.NewHasher(o.Seed),
 		targets: map[bvconfig.UpstreamID]*target{}, services: map[string]*serviceTargets{},
-		unknowns: map[bvcatalog.Token]time.Time{},
-		pending:  newPending(o.MaxPending), requests: newRequests(o.MaxPending),
+		unknowns: map[bvcatalog.Token]time.Time{}, zones: map[string]*zoneSigns{},
+		pending: newPending(o.MaxPending), requests: newRequests(o.MaxPending),
 	}
 }
--- a/core/bvtoken/crash_test.go
+++ b/core/bvtoken/crash_test.go
@@ -100,3 +100,57 @@
 	}
 	assert.Zero(t, leftOut)
 }
+
+// TestRefusingZone guards against callers that are refused by one upstream of
+// the zone after the other: pattern of a zone whose upstreams all restart at
+// once, before a balancer that sends each of them a flow now and then.
+func TestRefusingZone(t *testing.T) {
+	const (
+		perZone  = 30
+		interval = 60 * time.Millisecond
+		length   = 4 * time.Second
+	)
+	var ids []bvconfig.UpstreamID
+	for i := range perZone {
+		for _, zone := range []int{1, 2} { // zone-a and zone-b.
+			ids = append(ids, bvconfig.UpstreamID(10*zone+26*10*4*i))
+		}
+	}
+	f := newFixture(ids...)
+	down := false
+	// open returns whether a flow was opened.
+	open := func() bool {
+		x := f.caller(feeds)
+		f.open(x)
+		f.pass(3 * time.Millisecond)
+		if f.router.targets[x.upstream].inZone && down {
+			return false
+		}
+		f.request(x, false)
+		f.answer(x)
+		return true
+	}
+	run := func() (refused, inZone int) {
+		for range int(length / interval) {
+			started := f.now
+			if !open() {
+				refused++
+			} else if f.router.zones["zone-a"].answered.After(started) {
+				inZone++
+			}
+			f.pass(interval - 3*time.Millisecond)
+		}
+		return refused, inZone
+	}
+	refused, inZone := run()
+	assert.Zero(t, refused)
+	assert.Equal(t, int(length/interval), inZone)
+	down = true
+	refused, _ = run()
+	assert.LessOrEqual(t, refused, 8, "three for the finding, and one for each trial")
+	down = false
+	run()
+	refused, inZone = run()
+	assert.Zero(t, refused)
+	assert.Equal(t, int(length/interval), inZone, "the zone is in use again")
+}
--- a/core/bvtoken/dump.go
+++ b/core/bvtoken/dump.go
@@ -22,9 +22,14 @@
 	Silent   bool                `json:"silent"`
 	Load     float64             `json:"load"`
 	Open     int                 `json:"open"`
+	Opening  int                 `json:"opening"`
 	Latency  string              `json:"latency"`
 }
 
+// HandshakeTimeout returns the time after which an opening counts as
+// unanswered.
+func (r *Router) HandshakeTimeout() time.Duration { return r.handshake.timeout() }
+
 // Dump returns what the router knows of the upstreams, by ID.
 func (r *Router) Dump(now time.Time) []UpstreamDump {
 	r.refresh(now)
@@ -34,7 +39,7 @@
 		out = append(out, UpstreamDump{
 			ID: id, Token: uint32(e.Token), Service: e.Service, Zone: e.Zone, Address: e.Address,
 			Takes: e.Takes() && !r.catalog.ZoneOut(e.Zone), Draining: e.Draining, Cold: e.Cold(now),
-			Silent: r.limiter.Silent(id), Load: t.load.requests(now), Open: t.load.open, Latency: t.load.latency.String(),
+			Silent: r.limiter.Silent(id), Load: t.load.requests(now), Open: t.load.open, Opening: t.load.opening, Latency: t.load.latency.String(),
 		})
 	}
 	slices.SortFunc(out, func(a, b UpstreamDump) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -1,6 +1,10 @@
 package bvtoken
 
-import "time"
+import (
+	"time"
+
+	"balsamvane/core/bvconfig"
+)
 
 // The rule for an upstream that seems dead: deadMin packets in a row stayed
 // unacknowledged, over at least deadAfter. One lost packet, or the loss of
@@ -46,3 +50,37 @@
 func (e *evidence) isolated(now time.Time) bool {
 	return e.missed >= isolatedMin && e.last.Sub(e.first) >= isolatedAfter && now.Sub(e.last) < isolatedFor
 }
+
+const (
+	// zoneMin is the number of upstreams of a zone that leave packets
+	// unacknowledged, one after the other, until the zone seems to be down.
+	zoneMin = 3
+	// zoneDownFor is how long that holds. Then the zone's upstreams are tried
+	// again: most losses of a zone end within seconds.
+	zoneDownFor = time.Second
+)
+
+// zoneSigns are the signs of life of all upstreams in one zone. Each balancer
+// sends one of many upstreams a flow now and then only, so if all of a zone
+// fail, their own signs show that one by one, each at the cost of some flows.
+type zoneSigns struct {
+	missed    int                 // Changes of lastMissed since the last answer.
+	last      bvconfig.UpstreamID // The upstream that left a packet unacknowledged last.
+	downUntil time.Time
+	answered  time.Time // The last answer.
+}
+
+func (z *zoneSigns) answer(now time.Time) { *z = zoneSigns{answered: now} }
+
+func (z *zoneSigns) unanswered(now time.Time, u bvconfig.UpstreamID) {
+	if u != z.last {
+		z.missed++
+		z.last = u
+	}
+	if z.missed >= zoneMin {
+		z.downUntil = now.Add(zoneDownFor)
+	}
+}
+
+// down reports whether the zone seems to be down.
+func (z *zoneSigns) down(now time.Time) bool { return now.Before(z.downUntil) }
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -200,6 +200,8 @@
 	// fartherCost is for another zone: links between zones are expensive and
 	// fail more often, so the own zone takes its load until it is clearly slower.
 	fartherCost = 1.5
+	// zoneDownCost is for a zone that seems to be down. It exceeds fartherCost.
+	zoneDownCost = 3.0
 	// waitingCost is for an upstream that may have reset the caller's last
 	// opening. It exceeds fartherCost, for a zone with one upstream.
 	waitingCost = 2.0
@@ -234,6 +236,9 @@
 	if !t.inZone {
 		n += fartherCost
 	}
+	if t.zone.down(now) {
+		n += zoneDownCost
+	}
 	if slices.Contains(f.waiting[:], t.entry.ID) {
 		n += waitingCost
 	}
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -80,7 +80,7 @@
 // silent while others in its zone answer. An upstream in another zone may only
 // be out of this balancer's reach, and others may carry the flow on.
 func (r *Router) dead(t *target) bool {
-	return t.inZone && t.signs.dead() && r.zoneAnswer.After(t.signs.first)
+	return t.inZone && t.signs.dead() && t.zone.answered.After(t.signs.first)
 }
 
 // fresh reports whether the catalog is recent enough to show that something
@@ -152,9 +152,7 @@
 func (r *Router) alive(now time.Time, t *target) {
 	t.signs.answered()
 	r.evidence.answered()
-	if t.inZone {
-		r.zoneAnswer = now
-	}
+	t.zone.answer(now)
 	r.limiter.Answered(now, t.entry.ID)
 }
 
@@ -185,6 +183,7 @@
 // upstream did not acknowledge it.
 func (r *Router) unanswered(now time.Time, t *target) {
 	t.signs.unanswered(now)
+	t.zone.unanswered(now, t.entry.ID)
 	r.evidence.unanswered(now)
 	r.limiter.Unanswered(now, t.entry.ID)
 }
@@ -251,7 +250,8 @@
 		return
 	}
 	r.built, r.generation = true, r.catalog.Generation()
-	old, services := r.targets, r.services
+	old, services, zones := r.targets, r.services, r.zones
+	r.zones = make(map[string]*zoneSigns, len(zones))
 	r.targets = make(map[bvconfig.UpstreamID]*target, len(old))
 	r.services = make(map[string]*serviceTargets, len(services))
 	var us []bvlimit.Upstream
@@ -266,7 +266,7 @@
 			if t == nil {
 				t = &target{}
 			}
-			t.entry, t.inZone = e, e.Zone == r.options.Zone
+			t.entry, t.inZone, t.zone = e, e.Zone == r.options.Zone, r.zone(e.Zone, zones)
 			r.targets[e.ID] = t
 			us = append(us, r.limits(s, e))
 			if e.Takes() && !r.catalog.ZoneOut(e.Zone) {
@@ -284,6 +284,18 @@
 	}
 }
 
+// zone returns the signs of life of a zone, as they were before if it was known.
+func (r *Router) zone(name string, before map[string]*zoneSigns) *zoneSigns {
+	z := r.zones[name]
+	if z == nil {
+		if z = before[name]; z == nil {
+			z = &zoneSigns{}
+		}
+		r.zones[name] = z
+	}
+	return z
+}
+
 // limits returns an upstream in the form of the limiter.
 func (r *Router) limits(s *bvcatalog.Service, e *bvcatalog.Entry) bvlimit.Upstream {
 	return bvlimit.Upstream{
--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -231,10 +231,11 @@
 	f.eventually(func() bool { return strings.Contains(get("/metrics"), `reason="placed",verdict="forward"} 1`) })
 	assert.Contains(t, get("/metrics"), "balsamvane_packetSeconds")
 	assert.Contains(t, get("/dump"), `"upstreams"`)
+	assert.Contains(t, get("/dump"), `"handshakeTimeout": "150ms"`)
 	assert.Contains(t, get("/dump?service=desk&vm=7"), `"id": 7`)
 	assert.NotContains(t, get("/dump?service=other"), `"id": 7`)
 	assert.Contains(t, get("/dump?flow=tcp,127.0.0.1:1001,198.51.100.1:80"), "balsamvane explain")
-	for _, field := range []string{`"state": "active"`, `"revision": 3`, `"platformAge": "`} {
+	for _, field := range []string{`"state": "active"`, `"revision": 3`, `"platformAge": "`, `"followers": 0`} {
 		assert.Contains(t, get("/status"), field)
 	}
 	lines := f.logs.FilterMessage("decision").All()
--- a/io/bvforwarder/counters.go
+++ b/io/bvforwarder/counters.go
@@ -21,6 +21,8 @@
 	age      tally.Gauge
 	version  tally.Gauge
 	revision tally.Gauge
+	// followers is the number of balancers that follow this one.
+	followers tally.Gauge
 }
 
 func newCounters(s tally.Scope) *counters {
@@ -33,6 +35,7 @@
 		age:        s.Gauge("catalogAgeSeconds"),
 		version:    s.Gauge("configurationVersion"),
 		revision:   s.Gauge("catalogRevision"),
+		followers:  s.Gauge("followers"),
 	}
 	for _, v := range []bvtoken.Verdict{bvtoken.VerdictDrop, bvtoken.VerdictForward, bvtoken.VerdictReset} {
 		for _, r := range bvtoken.Reasons() {
@@ -46,11 +49,13 @@
 // reason counts a packet by verdict and reason.
 func (c *counters) reason(v bvtoken.Verdict, r bvtoken.Reason) { c.verdicts[v][r].Inc(1) }
 
-// gauge publishes how old the catalog is and what it holds. The caller holds mu.
+// gauge publishes how old the catalog is, what it holds and who follows it. The
+// caller holds mu.
 func (w *Forwarder) gauge(now time.Time) {
 	w.counters.age.Update(w.catalog.Age(now).Seconds())
 	w.counters.version.Update(float64(w.catalog.Version()))
 	w.counters.revision.Update(float64(w.catalog.Revision()))
+	w.counters.followers.Update(float64(w.relay.Followers()))
 }
 
 // CallCounter returns a function that counts calls to the store by kind and
--- a/io/bvforwarder/dump.go
+++ b/io/bvforwarder/dump.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"net/url"
 	"slices"
 	"strconv"
@@ -21,12 +22,17 @@
 	PlatformAge   string   `json:"platformAge,omitempty"` // Absent before the first listing.
 	Routes        int      `json:"routes"`
 	ZonesOut      []string `json:"zonesOut,omitempty"`
+	// Path are the balancers that the state of the store comes through; it is
+	// empty if this balancer reads the store.
+	Path      []netip.AddrPort `json:"path,omitempty"`
+	Followers int              `json:"followers"`
 }
 
 // dump is the whole state of a forwarder.
 type dump struct {
 	status
-	Upstreams []bvtoken.UpstreamDump `json:"upstreams"`
+	HandshakeTimeout string                 `json:"handshakeTimeout"`
+	Upstreams        []bvtoken.UpstreamDump `json:"upstreams"`
 }
 
 // errNoFlows is the answer to a question about one flow.
@@ -40,6 +46,7 @@
 		Node: w.settings.Node, Zone: w.settings.Zone, State: "joining",
 		Revision: w.catalog.Version(), StoreRevision: int64(w.catalog.Revision()),
 		Routes: w.catalog.Routes(), ZonesOut: w.catalog.ZonesOut(),
+		Path: w.follower.Path(), Followers: w.relay.Followers(),
 	}
 	if w.catalog.Complete() {
 		s.PlatformAge = w.catalog.Age(w.clock.Now()).Round(time.Millisecond).String()
@@ -67,5 +74,5 @@
 	us := slices.DeleteFunc(w.router.Dump(w.clock.Now()), func(u bvtoken.UpstreamDump) bool {
 		return service != "" && u.Service != service || id != "" && strconv.FormatUint(uint64(u.ID), 10) != id
 	})
-	return dump{status: s, Upstreams: us}, nil
+	return dump{status: s, HandshakeTimeout: w.router.HandshakeTimeout().String(), Upstreams: us}, nil
 }
