--- a/core/bvtoken/pending.go
+++ b/core/bvtoken/pending.go
@@ -19,19 +19,19 @@
 // when it is full.
 type pending struct {
 	openings map[bvflow.Key]opening
-	overdue  ring // Openings whose answer may become overdue.
-	given    ring // Openings that the caller may give up.
+	unjudged ring // When openings count as unanswered.
+	expiring ring // When callers give openings up.
 }
 
 func newPending(most int) pending {
-	return pending{openings: make(map[bvflow.Key]opening), overdue: newRing(most), given: newRing(most)}
+	return pending{openings: make(map[bvflow.Key]opening), unjudged: newRing(most), expiring: newRing(most)}
 }
 
 // put adds an opening. It returns the opening that had to be forgotten for it,
 // if there is one.
 func (p *pending) put(k bvflow.Key, o opening) (lost opening, full bool) {
-	p.overdue.put(k, o.at)
-	if evicted, oldest := p.given.put(k, o.at); evicted {
+	p.unjudged.put(k, o.at)
+	if evicted, oldest := p.expiring.put(k, o.at); evicted {
 		lost, full = p.openings[oldest]
 		delete(p.openings, oldest)
 	}
@@ -49,30 +49,28 @@
 // late marks and returns the next opening that was placed before t and does
 // not count as unanswered yet.
 func (p *pending) late(t time.Time) (opening, bool) {
-	for {
-		e, ok := p.overdue.before(t)
-		if !ok {
-			return opening{}, false
-		}
-		if o, ok := p.openings[e.key]; ok && o.at.Equal(e.at) && !o.judged {
-			o.judged = true
-			p.openings[e.key] = o
-			return o, true
-		}
+	k, ok := p.unjudged.before(t, func(e expiry) bool { return p.holds(e) && !p.openings[e.key].judged })
+	if !ok {
+		return opening{}, false
 	}
+	o := p.openings[k]
+	o.judged = true
+	p.openings[k] = o
+	return o, true
 }
 
 // expired removes and returns the next opening that was placed before t.
 func (p *pending) expired(t time.Time) (opening, bool) {
-	for {
-		e, ok := p.given.before(t)
-		if !ok {
-			return opening{}, false
-		}
-		// An opening that was placed again has a later expiry of its own.
-		if o, ok := p.openings[e.key]; ok && o.at.Equal(e.at) {
-			delete(p.openings, e.key)
-			return o, true
-		}
+	k, ok := p.expiring.before(t, p.holds)
+	if !ok {
+		return opening{}, false
 	}
+	return p.answered(k)
+}
+
+// holds reports whether an expiry is that of the opening: one that was placed
+// again has a later expiry of its own.
+func (p *pending) holds(e expiry) bool {
+	o, ok := p.openings[e.key]
+	return ok && o.at.Equal(e.at)
 }
--- a/core/bvtoken/request.go
+++ b/core/bvtoken/request.go
@@ -72,14 +72,12 @@
 
 // expired removes and returns the next request that was sent before t.
 func (r *requests) expired(t time.Time) (request, bool) {
-	for {
-		e, ok := r.queue.before(t)
-		if !ok {
-			return request{}, false
-		}
-		if q, ok := r.open[e.key]; ok && q.at.Equal(e.at) {
-			delete(r.open, e.key)
-			return q, true
-		}
+	k, ok := r.queue.before(t, func(e expiry) bool {
+		q, ok := r.open[e.key]
+		return ok && q.at.Equal(e.at)
+	})
+	if !ok {
+		return request{}, false
 	}
+	return r.ended(k)
 }
--- a/core/bvtoken/ring.go
+++ b/core/bvtoken/ring.go
@@ -38,10 +38,13 @@
 	return e
 }
 
-// before removes and returns the oldest expiry if it is before t.
-func (r *ring) before(t time.Time) (expiry, bool) {
-	if r.n == 0 || !r.queue[r.first].at.Before(t) {
-		return expiry{}, false
+// before removes the expiries before t up to the first one that is live, and
+// returns its key.
+func (r *ring) before(t time.Time, live func(expiry) bool) (bvflow.Key, bool) {
+	for r.n > 0 && r.queue[r.first].at.Before(t) {
+		if e := r.pop(); live(e) {
+			return e.key, true
+		}
 	}
-	return r.pop(), true
+	return bvflow.Key{}, false
 }
