--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -32,8 +32,9 @@
 	missing  bool     // The entry is removed, perhaps only expired.
 	gone     bool     // The entry is removed for good.
 	goneAt   time.Time
-	unusable bool // The entry cannot be read.
-	shadowed bool // A lower ID has the same token.
+	unusable bool   // The entry cannot be read.
+	shadowed bool   // A lower ID has the same token.
+	listed   string // The service that holds the entry; empty if none does.
 }
 
 // Takes reports whether the upstream may take new flows.
@@ -46,10 +47,14 @@
 // Cold reports whether the upstream is cold.
 func (e *Entry) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
 
-// Service is a service with its entries, those that are gone left out.
+// Service is a service with its entries by ID, those that are gone left out.
 type Service struct {
 	ServiceLimits
 	Entries []*Entry
+	// Generation is that of the catalog when the limits or an entry changed
+	// last.
+	Generation uint64
+	declared   bool // The configuration has limits for it.
 }
 
 // Catalog is what is known of the platform. It is not safe for concurrent use.
@@ -61,7 +66,7 @@
 	limits   map[string]ServiceLimits
 	zonesOut map[string]bool
 	entries  map[bvconfig.UpstreamID]*Entry
-	tokens   map[Token]*Entry
+	index    index
 	services map[string]*Service
 	revision Revision
 	listed   bool
@@ -71,6 +76,7 @@
 	// which the platform may have been out of reach.
 	complete   time.Time
 	generation uint64
+	changed    bool // Something has changed since the generation.
 	history    history
 }
 
@@ -79,7 +85,7 @@
 	return &Catalog{
 		options: o.withDefaults(), routes: map[netip.AddrPort]Route{}, limits: map[string]ServiceLimits{},
 		zonesOut: map[string]bool{}, entries: map[bvconfig.UpstreamID]*Entry{},
-		tokens: map[Token]*Entry{}, services: map[string]*Service{},
+		index: newIndex(), services: map[string]*Service{},
 	}
 }
 
@@ -150,7 +156,7 @@
 
 // ByToken returns the upstream that a token stands for, also for some time
 // after it has gone, or nil.
-func (c *Catalog) ByToken(t Token) *Entry { return c.tokens[t] }
+func (c *Catalog) ByToken(t Token) *Entry { return c.index.tokens[t] }
 
 // Answered takes note that the catalog was complete age ago: the platform
 // answered then, perhaps to another balancer.
@@ -188,6 +194,9 @@
 				c.remove(now, e, r)
 			}
 		}
+		if !maps.Equal(c.zonesOut, zones) {
+			c.touchAll()
+		}
 		c.zonesOut = zones
 	}
 	c.revision = max(c.revision, r)
@@ -195,7 +204,7 @@
 		c.listed, c.complete = true, now.Add(c.options.Settle)
 	}
 	c.history.reset(c.revision)
-	c.rebuild()
+	c.commit()
 }
 
 // Apply takes changes in the order of their revisions, up to revision r.
@@ -210,25 +219,24 @@
 	}
 	c.revision = max(c.revision, r)
 	c.history.append(r, cs)
-	c.rebuild()
+	c.commit()
 }
 
 // Tick lets the memory of gone upstreams end, and the settle time once the
 // platform has answered after it.
 func (c *Catalog) Tick(now time.Time) {
-	changed, settled := false, c.Settled()
+	settled := c.Settled()
 	for id, e := range c.entries {
 		switch {
 		case e.missing && !e.gone && settled:
-			e.gone, e.goneAt, changed = true, now, true
+			e.gone, e.goneAt = true, now
+			c.update(e)
 		case e.gone && now.Sub(e.goneAt) > c.options.Remember:
 			delete(c.entries, id)
-			changed = true
+			c.forget(e)
 		}
 	}
-	if changed {
-		c.rebuild()
-	}
+	c.commit()
 }
 
 func (c *Catalog) change(now time.Time, ch Change) {
@@ -236,9 +244,9 @@
 	case Declared:
 		c.declare(v)
 	case ZoneOut:
-		c.zonesOut[v.Zone] = true
+		c.setZone(v.Zone, true)
 	case ZoneBack:
-		delete(c.zonesOut, v.Zone)
+		c.setZone(v.Zone, false)
 	case UpstreamPut:
 		c.put(now, v.Revision, v.Upstream)
 	case UpstreamGone:
@@ -256,7 +264,21 @@
 		if v.Revision > e.revision {
 			e.unusable, e.revision = true, v.Revision
 		}
+		c.update(e)
+	}
+}
+
+// setZone takes a zone out of service or back.
+func (c *Catalog) setZone(zone string, out bool) {
+	if c.zonesOut[zone] == out {
+		return
+	}
+	if out {
+		c.zonesOut[zone] = true
+	} else {
+		delete(c.zonesOut, zone)
 	}
+	c.touchAll()
 }
 
 // declare takes a configuration that is newer than the one in force. An older
@@ -270,9 +292,16 @@
 	for _, r := range d.Routes {
 		c.routes[r.Address] = r
 	}
+	c.changed = true
 	c.limits = make(map[string]ServiceLimits, len(d.Services))
 	for _, s := range d.Services {
 		c.limits[s.Name] = s
+		c.setLimits(s, true)
+	}
+	for name, s := range c.services {
+		if _, ok := c.limits[name]; !ok && s.declared {
+			c.setLimits(ServiceLimits{Name: name}, false)
+		}
 	}
 }
 
@@ -281,6 +310,9 @@
 	if e != nil && r <= e.revision {
 		return
 	}
+	if e != nil && e.gone {
+		c.forget(e)
+	}
 	if e == nil || e.gone {
 		e = &Entry{Token: TokenOf(u.ID)}
 		c.entries[u.ID] = e
@@ -288,6 +320,7 @@
 	e.Upstream, e.revision = u, r
 	e.missing, e.unusable = false, false
 	e.ColdUntil = now.Add(u.ColdFor)
+	c.update(e)
 }
 
 // remove takes an entry out of use, or waits for the end of the settle time if
@@ -299,42 +332,7 @@
 		return
 	}
 	e.gone, e.goneAt = true, now
-}
-
-// rebuild makes the indexes anew.
-func (c *Catalog) rebuild() {
-	c.generation++
-	c.tokens = make(map[Token]*Entry, len(c.entries))
-	c.services = make(map[string]*Service, len(c.limits))
-	for name, l := range c.limits {
-		c.services[name] = &Service{ServiceLimits: l}
-	}
-	for _, id := range sortedIDs(c.entries) {
-		e := c.entries[id]
-		c.index(e)
-		if e.gone || e.Service == "" {
-			continue
-		}
-		s := c.services[e.Service]
-		if s == nil {
-			s = &Service{ServiceLimits: ServiceLimits{Name: e.Service}}
-			c.services[e.Service] = s
-		}
-		s.Entries = append(s.Entries, e)
-	}
-}
-
-// index enters a token. Of two upstreams with one token the one with the lower
-// ID has it on all balancers, and the other takes no new flows; one that is
-// gone gives way.
-func (c *Catalog) index(e *Entry) {
-	e.shadowed = false
-	switch other := c.tokens[e.Token]; {
-	case other == nil || other.gone && !e.gone:
-		c.tokens[e.Token] = e
-	case !e.gone:
-		e.shadowed = true
-	}
+	c.update(e)
 }
 
 func sortedIDs(m map[bvconfig.UpstreamID]*Entry) []bvconfig.UpstreamID {
--- /dev/null
+++ b/core/bvcatalog/index_test.go
@@ -0,0 +1,125 @@
+package bvcatalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"balsamvane/core/bvconfig"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// naive computes the indexes of a catalog from its entries.
+type naive struct {
+	tokens   map[Token]bvconfig.UpstreamID
+	services map[string][]string // What each entry says, by ID.
+	limits   map[string]ServiceLimits
+}
+
+func newNaive(c *Catalog) naive {
+	n := naive{tokens: map[Token]bvconfig.UpstreamID{}, services: map[string][]string{}, limits: map[string]ServiceLimits{}}
+	for name, l := range c.limits {
+		n.limits[name], n.services[name] = l, nil
+	}
+	winners := map[Token]*Entry{}
+	for _, id := range sortedIDs(c.entries) {
+		e := c.entries[id]
+		shadowed := false
+		switch other := winners[e.Token]; {
+		case other == nil || other.gone && !e.gone:
+			winners[e.Token] = e
+		case !e.gone:
+			shadowed = true
+		}
+		n.tokens[e.Token] = winners[e.Token].ID
+		if e.gone || e.Service == "" {
+			continue
+		}
+		if _, ok := n.limits[e.Service]; !ok {
+			n.limits[e.Service] = ServiceLimits{Name: e.Service}
+		}
+		takes := !e.gone && !e.Draining && !e.unusable && !shadowed
+		n.services[e.Service] = append(n.services[e.Service], fmt.Sprint(e.ID, takes, e.Zone, e.Address, c.zonesOut[e.Zone]))
+	}
+	return n
+}
+
+// indexed reads the same from the indexes.
+func indexed(c *Catalog) naive {
+	n := naive{tokens: map[Token]bvconfig.UpstreamID{}, services: map[string][]string{}, limits: map[string]ServiceLimits{}}
+	for t, e := range c.index.tokens {
+		n.tokens[t] = e.ID
+	}
+	for name, s := range c.services {
+		n.limits[name], n.services[name] = s.ServiceLimits, nil
+		for _, e := range s.Entries {
+			n.services[name] = append(n.services[name], fmt.Sprint(e.ID, e.Takes(), e.Zone, e.Address, c.zonesOut[e.Zone]))
+		}
+	}
+	return n
+}
+
+// TestIndexes guards against indexes that differ from the entries after any
+// sequence of changes, and against services that have changed without a new
+// generation. Upstreams share tokens, move between services and come back.
+func TestIndexes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(Options{})
+		now, r := start, Revision(10)
+		c.Replace(now, 0, r, []Change{Declared{Version: 1, Services: []ServiceLimits{{Name: "s0"}}}})
+		id := func() bvconfig.UpstreamID {
+			n := rapid.Uint64Range(1, 3).Draw(t, "token")
+			k := rapid.Uint64Range(0, 2).Draw(t, "twin")
+			return bvconfig.UpstreamID(k<<32 | (n ^ k)) // All k have the token n.
+		}
+		change := func() Change {
+			r++
+			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			case 0:
+				return UpstreamUnreadable{Revision: r, ID: id()}
+			case 1, 2:
+				return UpstreamGone{Revision: r, ID: id()}
+			case 3:
+				return ZoneOut{Zone: "z1"}
+			case 4:
+				return ZoneBack{Zone: "z1"}
+			case 5:
+				d := Declared{Version: c.Version() + 1}
+				for i := range rapid.IntRange(0, 3).Draw(t, "services") {
+					d.Services = append(d.Services, ServiceLimits{Name: fmt.Sprint("s", i), Connections: rapid.Uint32Range(0, 1).Draw(t, "limit")})
+				}
+				return d
+			default:
+				u := upstream(id())
+				u.Service = fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "service"))
+				u.Zone = fmt.Sprint("z", rapid.IntRange(0, 1).Draw(t, "zone"))
+				u.Draining = rapid.Bool().Draw(t, "draining")
+				return UpstreamPut{Revision: r, Upstream: u}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"apply": func(*rapid.T) { c.Apply(now, 0, r, []Change{change()}) },
+			"list":  func(*rapid.T) { c.Replace(now, 0, r, []Change{change(), change()}) },
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
+				c.Answered(now, 0)
+				c.Tick(now)
+			},
+			"": func() func(t *rapid.T) {
+				before, generation := indexed(c), c.Generation()
+				return func(t *rapid.T) {
+					got := indexed(c)
+					require.Equal(t, newNaive(c), got)
+					for name, view := range got.services {
+						if fmt.Sprint(view, got.limits[name]) != fmt.Sprint(before.services[name], before.limits[name]) {
+							require.Greater(t, c.Service(name).Generation, generation, name)
+						}
+					}
+					before, generation = got, c.Generation()
+				}
+			}(),
+		})
+	})
+}
