--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -66,6 +66,8 @@
 	limits   map[string]ServiceLimits
 	zonesOut map[string]bool
 	entries  map[bvconfig.UpstreamID]*Entry
+	// ending are the entries that are missing or gone.
+	ending   map[bvconfig.UpstreamID]*Entry
 	index    index
 	services map[string]*Service
 	revision Revision
@@ -84,7 +86,7 @@
 func New(o Options) *Catalog {
 	return &Catalog{
 		options: o.withDefaults(), routes: map[netip.AddrPort]Route{}, limits: map[string]ServiceLimits{},
-		zonesOut: map[string]bool{}, entries: map[bvconfig.UpstreamID]*Entry{},
+		zonesOut: map[string]bool{}, entries: map[bvconfig.UpstreamID]*Entry{}, ending: map[bvconfig.UpstreamID]*Entry{},
 		index: newIndex(), services: map[string]*Service{},
 	}
 }
@@ -226,7 +228,7 @@
 // platform has answered after it.
 func (c *Catalog) Tick(now time.Time) {
 	settled := c.Settled()
-	for id, e := range c.entries {
+	for id, e := range c.ending {
 		switch {
 		case e.missing && !e.gone && settled:
 			e.gone, e.goneAt = true, now
@@ -329,6 +331,7 @@
 	e.revision = r
 	if now.Before(c.settled) && !c.options.noSettle && !e.Draining {
 		e.missing = true
+		c.update(e)
 		return
 	}
 	e.gone, e.goneAt = true, now
--- a/core/bvcatalog/index.go
+++ b/core/bvcatalog/index.go
@@ -83,6 +83,11 @@
 		c.touch(o.listed)
 	}
 	c.list(e)
+	if e.missing || e.gone {
+		c.ending[e.ID] = e
+	} else {
+		delete(c.ending, e.ID)
+	}
 }
 
 // forget removes an entry from the indexes.
@@ -91,6 +96,7 @@
 		c.touch(o.listed)
 	}
 	c.unlist(e)
+	delete(c.ending, e.ID)
 	c.changed = true
 }
 
--- a/core/bvcatalog/index_test.go
+++ b/core/bvcatalog/index_test.go
@@ -112,6 +112,10 @@
 				return func(t *rapid.T) {
 					got := indexed(c)
 					require.Equal(t, newNaive(c), got)
+					for id, e := range c.entries {
+						require.Equal(t, e.missing || e.gone, c.ending[id] == e, "entry %d", id)
+					}
+					require.Subset(t, c.entries, c.ending)
 					for name, view := range got.services {
 						if fmt.Sprint(view, got.limits[name]) != fmt.Sprint(before.services[name], before.limits[name]) {
 							require.Greater(t, c.Service(name).Generation, generation, name)
--- a/core/bvlimit/bvlimit.go
+++ b/core/bvlimit/bvlimit.go
@@ -121,9 +121,16 @@
 	Age      time.Duration // Since its ramp started.
 }
 
-// service holds the upstreams of a service in the zone that are not leaving.
+// service holds the upstreams of a service in the zone.
 type service struct {
-	members []*upstream
+	all     []*upstream
+	members []*upstream // Those that are not leaving.
+}
+
+func (s *service) remove(x *upstream) {
+	is := func(o *upstream) bool { return o == x }
+	s.all = slices.DeleteFunc(s.all, is)
+	s.members = slices.DeleteFunc(s.members, is)
 }
 
 // upstream is the state of one upstream. Times are since Limiter.epoch.
@@ -172,7 +179,10 @@
 
 // New returns a limiter without upstreams. Its share is not enabled.
 func New(o Options) *Limiter {
-	return &Limiter{options: o.withDefaults(), balancers: 1, upstreams: map[bvconfig.UpstreamID]*upstream{}}
+	return &Limiter{
+		options: o.withDefaults(), balancers: 1,
+		upstreams: map[bvconfig.UpstreamID]*upstream{}, services: map[string]*service{},
+	}
 }
 
 func (l *Limiter) since(now time.Time) time.Duration { return now.Sub(l.epoch) }
@@ -181,38 +191,87 @@
 // number of balancers published for it recently. New upstreams start cold;
 // the others keep their state.
 func (l *Limiter) SetUpstreams(now time.Time, zone string, us []Upstream, balancersInZoneMax int) {
+	l.SetZone(now, zone, balancersInZoneMax)
+	old := l.upstreams
+	l.upstreams, l.services = make(map[bvconfig.UpstreamID]*upstream, len(us)), map[string]*service{}
+	for _, u := range us {
+		x := old[u.ID]
+		if x == nil {
+			x = l.newUpstream(now)
+		}
+		l.set(x, l.service(u.Service), u)
+	}
+}
+
+// SetZone takes the balancer's zone and the number of balancers that share the
+// limits of each upstream. [Limiter.SetUpstreams] does so as well; it comes
+// before the first [Limiter.SetService].
+func (l *Limiter) SetZone(now time.Time, zone string, balancers int) {
 	if l.epoch.IsZero() {
 		l.epoch = now
 	}
 	l.zone = zone
-	n := max(balancersInZoneMax, 1)
+	n := max(balancers, 1)
 	if l.options.liveBalancers > 0 {
 		n = l.options.liveBalancers
 	}
 	l.balancers = float64(n)
-	old, at := l.upstreams, l.since(now)
-	l.upstreams, l.services = make(map[bvconfig.UpstreamID]*upstream, len(us)), map[string]*service{}
+}
+
+// SetService takes the upstreams of one service. Its cost does not depend on
+// the other services. An upstream that was in another service keeps its state.
+func (l *Limiter) SetService(now time.Time, name string, us []Upstream) {
+	s := l.service(name)
+	before := s.all
+	s.all, s.members = nil, nil
+	for _, x := range before {
+		x.service = nil
+	}
 	for _, u := range us {
-		x := old[u.ID]
+		x := l.upstreams[u.ID]
 		if x == nil {
-			x = &upstream{rampStart: at, refilled: at, learnable: true}
-		}
-		x.Upstream = u
-		x.share = -1
-		if u.Connections > 0 {
-			x.share = int(u.Connections) / n
+			x = l.newUpstream(now)
+		} else if x.service != nil {
+			x.service.remove(x)
 		}
-		s := l.services[u.Service]
-		if s == nil {
-			s = &service{}
-			l.services[u.Service] = s
-		}
-		x.service = s
-		if !u.Leaving {
-			s.members = append(s.members, x)
+		l.set(x, s, u)
+	}
+	for _, x := range before {
+		if x.service == nil {
+			delete(l.upstreams, x.ID)
 		}
-		l.upstreams[u.ID] = x
 	}
+	if len(us) == 0 {
+		delete(l.services, name)
+	}
+}
+
+func (l *Limiter) service(name string) *service {
+	s := l.services[name]
+	if s == nil {
+		s = &service{}
+		l.services[name] = s
+	}
+	return s
+}
+
+func (l *Limiter) newUpstream(now time.Time) *upstream {
+	at := l.since(now)
+	return &upstream{rampStart: at, refilled: at, learnable: true}
+}
+
+// set enters an upstream in its service.
+func (l *Limiter) set(x *upstream, s *service, u Upstream) {
+	x.Upstream, x.service = u, s
+	x.share = -1
+	if u.Connections > 0 {
+		x.share = int(float64(u.Connections) / l.balancers)
+	}
+	s.all = append(s.all, x)
+	if !u.Leaving {
+		s.members = append(s.members, x)
+	}
+	l.upstreams[u.ID] = x
 }
 
 // SetShareEnabled tells whether this balancer may use its share. A joining
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -120,6 +120,7 @@
 // target is an upstream as the router sees it.
 type target struct {
 	entry    *bvcatalog.Entry
+	service  *serviceTargets
 	zone     *zoneSigns
 	load     load
 	signs    signs
@@ -128,9 +129,10 @@
 	tried    uint64    // Number of the placement that tried it last.
 }
 
-// serviceTargets are the upstreams of a service that may take new flows.
+// serviceTargets are the upstreams of a service.
 type serviceTargets struct {
-	targets []*target
+	all     []*target
+	targets []*target // Those that may take new flows.
 	// usual is the mean latency of the service's requests; 0 if none was
 	// measured.
 	usual time.Duration
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -4,9 +4,7 @@
 	"time"
 
 	"balsamvane/core/bvcatalog"
-	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvflow"
-	"balsamvane/core/bvlimit"
 )
 
 // Route decides on a caller's packet. If there are several packets, those of
@@ -161,9 +159,7 @@
 	r.alive(now, t)
 	t.load.open = max(t.load.open-1, 0)
 	t.load.measured(now, latency)
-	if s := r.services[t.entry.Service]; s != nil {
-		s.measured(latency)
-	}
+	t.service.measured(latency)
 }
 
 // usualWeight is the weight of one measurement in the usual latency of a
@@ -243,64 +239,3 @@
 // Isolated reports whether this balancer seems to reach no upstream, so that
 // its callers are better served by another one.
 func (r *Router) Isolated(now time.Time) bool { return r.evidence.isolated(now) }
-
-// refresh takes over what has changed in the catalog.
-func (r *Router) refresh(now time.Time) {
-	if r.built && r.generation == r.catalog.Generation() {
-		return
-	}
-	r.built, r.generation = true, r.catalog.Generation()
-	old, services, zones := r.targets, r.services, r.zones
-	r.zones = make(map[string]*zoneSigns, len(zones))
-	r.targets = make(map[bvconfig.UpstreamID]*target, len(old))
-	r.services = make(map[string]*serviceTargets, len(services))
-	var us []bvlimit.Upstream
-	for name, s := range r.catalog.Services() {
-		st := &serviceTargets{}
-		if before := services[name]; before != nil {
-			st.usual = before.usual
-		}
-		r.services[name] = st
-		for _, e := range s.Entries {
-			t := old[e.ID]
-			if t == nil {
-				t = &target{}
-			}
-			t.entry, t.inZone, t.zone = e, e.Zone == r.options.Zone, r.zone(e.Zone, zones)
-			r.targets[e.ID] = t
-			us = append(us, r.limits(s, e))
-			if e.Takes() && !r.catalog.ZoneOut(e.Zone) {
-				st.targets = append(st.targets, t)
-			}
-		}
-	}
-	r.limiter.SetUpstreams(now, r.options.Zone, us, r.options.ColdBalancers)
-	r.limiter.SetShareEnabled(true)
-	for id, t := range r.targets {
-		if !t.coldSeen.Equal(t.entry.ColdUntil) {
-			t.coldSeen = t.entry.ColdUntil
-			r.limiter.SetCold(now, id, t.entry.ColdUntil.Sub(now))
-		}
-	}
-}
-
-// zone returns the signs of life of a zone, as they were before if it was known.
-func (r *Router) zone(name string, before map[string]*zoneSigns) *zoneSigns {
-	z := r.zones[name]
-	if z == nil {
-		if z = before[name]; z == nil {
-			z = &zoneSigns{}
-		}
-		r.zones[name] = z
-	}
-	return z
-}
-
-// limits returns an upstream in the form of the limiter.
-func (r *Router) limits(s *bvcatalog.Service, e *bvcatalog.Entry) bvlimit.Upstream {
-	return bvlimit.Upstream{
-		ID: e.ID, Service: e.Service, Slots: e.Slots,
-		Cold: s.ColdFlowsPerSecond*r.options.ColdFactor + r.options.ColdSlack, Flat: true,
-		WarmUp: max(s.ColdFor, e.ColdFor), Leaving: !e.Takes(),
-	}
-}
