--- a/core/bvfanout/bvfanout.go
+++ b/core/bvfanout/bvfanout.go
@@ -48,19 +48,22 @@
 type Options struct {
 	// Zone is the balancer's own zone.
 	Zone string
-	// SameZone and OtherZone bound the followers of the own zone and of each
-	// other zone. 16 and 2: the first keeps the tree flat, the second is the
-	// least that outlives the loss of one.
-	SameZone  int
-	OtherZone int
+	// SameZone, OtherZone and OtherZones bound the followers of the own zone,
+	// of each other zone, and of all other zones together. 8, 2 and 8: with 16
+	// followers a balancer keeps to the budget of bytes for control, and 2 is
+	// the least that outlives the loss of one.
+	SameZone   int
+	OtherZone  int
+	OtherZones int
 	// Lease is how long a follower keeps its place without asking. It covers
 	// two waits of a watch. 4 s.
 	Lease time.Duration
 }
 
 func (o Options) withDefaults() Options {
-	o.SameZone = cmp.Or(o.SameZone, 16)
+	o.SameZone = cmp.Or(o.SameZone, 8)
 	o.OtherZone = cmp.Or(o.OtherZone, 2)
+	o.OtherZones = cmp.Or(o.OtherZones, 8)
 	o.Lease = cmp.Or(o.Lease, 4*time.Second)
 	return o
 }
@@ -87,18 +90,20 @@
 }
 
 // Ask returns no address if x may follow this balancer, and renews its lease.
-// Otherwise it returns the followers in x's zone that x may follow instead, the
-// first one preferred. A balancer that cannot be followed itself is always
+// Otherwise it returns followers that x may follow instead, the first one
+// preferred: those in x's zone if there are any. A balancer that cannot be followed itself is always
 // taken, and takes nobody's place.
 func (f *Fanout) Ask(now time.Time, x Follower) []netip.AddrPort {
 	if !x.Address.IsValid() {
 		return nil
 	}
 	f.expire(now)
-	if _, ok := f.followers[x.Address]; !ok {
-		if others := f.inZone(x.Zone); len(others) >= f.limit(x.Zone) {
-			return nearest(x.Address, others)
+	if _, ok := f.followers[x.Address]; !ok && !f.hasRoom(x.Zone) {
+		others := f.followersIn(func(zone string) bool { return zone == x.Zone })
+		if len(others) == 0 {
+			others = f.followersIn(func(string) bool { return true })
 		}
+		return nearest(x.Address, others)
 	}
 	f.followers[x.Address] = lease{zone: x.Zone, until: now.Add(f.options.Lease)}
 	return nil
@@ -110,11 +115,21 @@
 	return len(f.followers)
 }
 
-func (f *Fanout) limit(zone string) int {
+// hasRoom reports whether one more balancer of the zone may follow.
+func (f *Fanout) hasRoom(zone string) bool {
+	same, others := 0, 0
+	for _, l := range f.followers {
+		switch {
+		case l.zone == zone:
+			same++
+		case l.zone != f.options.Zone:
+			others++
+		}
+	}
 	if zone == f.options.Zone {
-		return f.options.SameZone
+		return same < f.options.SameZone
 	}
-	return f.options.OtherZone
+	return same < f.options.OtherZone && same+others < f.options.OtherZones
 }
 
 func (f *Fanout) expire(now time.Time) {
@@ -125,10 +140,11 @@
 	}
 }
 
-func (f *Fanout) inZone(zone string) []netip.AddrPort {
+// followersIn returns the followers in some zones.
+func (f *Fanout) followersIn(zones func(zone string) bool) []netip.AddrPort {
 	var out []netip.AddrPort
 	for a, l := range f.followers {
-		if l.zone == zone {
+		if zones(l.zone) {
 			out = append(out, a)
 		}
 	}
--- a/core/bvtoken/bench_test.go
+++ b/core/bvtoken/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -44,13 +45,24 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
 }
 
+// heap returns the bytes of the heap in use.
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 // BenchmarkChange measures what one changed entry costs a balancer until its
 // next decision.
 func BenchmarkChange(b *testing.B) {
 	for _, n := range []int{150, 3000, 140000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			before := heap()
 			f := newLarge(n)
 			x := f.caller(largeRoute(0))
+			f.open(x)
+			grown := heap() - before
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				u := largeUpstream(i % n)
@@ -58,6 +70,7 @@
 				f.apply(bvcatalog.UpstreamPut{Revision: f.revision + 1, Upstream: u})
 				f.router.Route(f.now, Packet{Packet: bvflow.Packet{Tuple: x.tuple, Phase: bvflow.PhaseOpening}})
 			}
+			b.ReportMetric(float64(grown)/float64(n), "heapB/upstream")
 		})
 	}
 }
