--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -64,7 +64,7 @@
 // sends one of many upstreams a flow now and then only, so if all of a zone
 // fail, their own signs show that one by one, each at the cost of some flows.
 type zoneSigns struct {
-	missed    int                 // Changes of lastMissed since the last answer.
+	missed    int                 // Changes of last since the last answer.
 	last      bvconfig.UpstreamID // The upstream that left a packet unacknowledged last.
 	downUntil time.Time
 	answered  time.Time // The last answer.
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -32,7 +32,7 @@
 		unanswered: r.repeated(now, k), waiting: r.waiting(p.Source.Addr()),
 	}
 	t, why := r.place(now, f)
-	if t == nil && !r.catalog.Settled() && (why == ReasonNoUpstream || why == ReasonBusy) {
+	if t == nil && !r.catalog.Settled() {
 		// Others may only have to register again. The caller repeats its
 		// opening, while a refusal would use up one of its tries.
 		return Decision{Verdict: VerdictDrop, Reason: why}
@@ -130,7 +130,7 @@
 		return nil, ReasonNoUpstream
 	}
 	r.placement++
-	why := ReasonNoUpstream
+	why, busy := ReasonNoUpstream, false
 	settled := r.catalog.Settled()
 	for {
 		t := r.next(now, f)
@@ -139,7 +139,7 @@
 		}
 		t.tried = r.placement
 		if !settled && t.busy() {
-			why = ReasonBusy
+			busy = true
 			continue
 		}
 		if r.limiter.Admit(now, t.entry.ID) {
@@ -152,8 +152,8 @@
 			why = ReasonColdBudget
 		}
 	}
-	if why == ReasonBusy {
-		return nil, why
+	if busy {
+		return nil, ReasonBusy
 	}
 	if t := r.lastResort(now, f.service); t != nil {
 		return t, ReasonPlacedSilent
--- a/core/bvtoken/place_test.go
+++ b/core/bvtoken/place_test.go
@@ -302,6 +302,10 @@
 	f.apply(f.entry(11))
 	assert.Equal(t, VerdictForward, f.open(x).Verdict, "the next copy of the opening")
 
+	f = newStartingFixture(11)
+	f.change(11, func(u *bvcatalog.Upstream) { u.ColdFor = 2 * time.Second })
+	assert.Equal(t, VerdictDrop, f.open(f.caller(feeds)).Verdict, "the only one so far is cold")
+
 	f = newFixture()
 	assert.Equal(t, VerdictReset, f.open(f.caller(feeds)).Verdict, "live upstreams would have registered")
 	f.apply(f.entry(11))
