--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -206,25 +206,34 @@
 			f.begin(ctx, sink)
 			continue
 		}
-		if s, ok := f.named.first(); ok {
-			l, err := f.step(ctx, s, false, sink)
-			f.settleNamed(ctx, s, err)
-			f.pause(ctx, l, err)
-			continue
-		}
-		i, wait := f.list.Next(f.clock.Now())
-		if wait > 0 {
-			f.sleep(ctx, wait)
-			continue
+		l, err := f.round(ctx, sink)
+		if err == nil && len(l.Changes) > 0 {
+			f.sleep(ctx, f.options.Pause) // Changes in quick succession come in one answer.
+			f.paused = true
 		}
-		s := f.sources[i]
-		l, err := f.step(ctx, s, f.list.Doubtful(i), sink)
-		f.settle(ctx, i, s, err)
-		f.pause(ctx, l, err)
 	}
 	return ctx.Err()
 }
 
+// round asks a source that was named, or else the first of the own sources that
+// is well. It waits if none is.
+func (f *Follower) round(ctx context.Context, sink func(Event)) (Listing, error) {
+	if s, ok := f.named.first(); ok {
+		l, err := f.step(ctx, s, false, sink)
+		f.settleNamed(ctx, s, err)
+		return l, err
+	}
+	i, wait := f.list.Next(f.clock.Now())
+	if wait > 0 {
+		f.sleep(ctx, wait)
+		return Listing{}, nil
+	}
+	s := f.sources[i]
+	l, err := f.step(ctx, s, f.list.Doubtful(i), sink)
+	f.settle(ctx, i, s, err)
+	return l, err
+}
+
 // settle takes note of the outcome of a call to one of the own sources.
 func (f *Follower) settle(ctx context.Context, i int, s Source, err error) {
 	var r *Redirect
@@ -241,14 +250,6 @@
 	}
 }
 
-// pause lets changes in quick succession come in one answer.
-func (f *Follower) pause(ctx context.Context, l Listing, err error) {
-	if err == nil && len(l.Changes) > 0 {
-		f.sleep(ctx, f.options.Pause)
-		f.paused = true
-	}
-}
-
 // step makes one call to a source. A doubtful source is asked for a quick answer.
 func (f *Follower) step(ctx context.Context, s Source, doubtful bool, sink func(Event)) (Listing, error) {
 	if !f.listed {
