--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -289,3 +289,33 @@
 	assert.Equal(t, []netip.AddrPort{route}, applied[0].Seeds)
 	assert.Len(t, f.logs.FilterMessage("settings are faulty; those before stay in force").All(), 1)
 }
+
+// TestAnswersFirst guards against upstreams that are taken for silent after a
+// pause of this process: packets that show their answers came in one batch with
+// openings, some of them later.
+func TestAnswersFirst(t *testing.T) {
+	f := newFixture(t, Options{})
+	f.store.set(f.listing(), nil)
+	f.eventually(func() bool { return f.readiness() == http.StatusOK })
+	w := f.forwarder
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	packet := func(port uint16, phase bvflow.Phase, token bvcatalog.Token) bvtoken.Packet {
+		source := netip.AddrPortFrom(netip.MustParseAddr("192.0.2.9"), port)
+		return bvtoken.Packet{
+			Packet: bvflow.Packet{Tuple: bvflow.Tuple{Source: source, Destination: route, Protocol: bvflow.ProtocolTCP}, Phase: phase},
+			Token:  token,
+		}
+	}
+	now := w.clock.Now()
+	l := newLoop(w)
+	l.items = append(l.items, item{packet: packet(9, bvflow.PhaseOpening, 0)})
+	for port := range uint16(3) {
+		d := w.router.Route(now, packet(port, bvflow.PhaseOpening, 0))
+		require.Equal(t, bvtoken.ReasonPlaced, d.Reason)
+		l.items = append(l.items, item{packet: packet(port, bvflow.PhaseEstablished, d.Token)})
+	}
+	now = now.Add(3 * time.Second) // The pause.
+	l.decide(now)
+	assert.Equal(t, bvtoken.ReasonPlaced, l.items[0].decision.Reason, "the upstream is not left out")
+}
--- a/io/bvforwarder/loop.go
+++ b/io/bvforwarder/loop.go
@@ -46,8 +46,7 @@
 	}
 	now := w.clock.Now()
 	w.mu.Lock()
-	l.decide(now, false)
-	l.decide(now, true)
+	l.decide(now)
 	s := state{age: w.catalog.Age(now), revision: int64(w.catalog.Revision()), version: w.catalog.Version()}
 	w.mu.Unlock()
 	for i := range l.items {
@@ -60,14 +59,15 @@
 	w.counters.seconds.RecordDuration(w.clock.Since(now))
 }
 
-// decide decides on the batch's openings, or on its other packets. The others
-// come first: after a pause of this process, they show which upstreams have
-// answered meanwhile.
-func (l *loop) decide(now time.Time, openings bool) {
-	for i := range l.items {
-		it := &l.items[i]
-		if (it.packet.Phase == bvflow.PhaseOpening) == openings {
-			it.decision = l.forwarder.router.Route(now, it.packet)
+// decide decides on the batch, its openings last: after a pause of this process,
+// the other packets show which upstreams have answered meanwhile.
+func (l *loop) decide(now time.Time) {
+	for _, openings := range []bool{false, true} {
+		for i := range l.items {
+			it := &l.items[i]
+			if (it.packet.Phase == bvflow.PhaseOpening) == openings {
+				it.decision = l.forwarder.router.Route(now, it.packet)
+			}
 		}
 	}
 }
