--- a/core/bvcatalog/index_test.go
+++ b/core/bvcatalog/index_test.go
@@ -1,6 +1,7 @@
 package bvcatalog
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +12,9 @@
 	"pgregory.net/rapid"
 )
 
+// The seed is fixed so that each run draws the same cases.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // naive computes the indexes of a catalog from its entries.
 type naive struct {
 	tokens   map[Token]bvconfig.UpstreamID
--- a/core/bvtoken/refresh_test.go
+++ b/core/bvtoken/refresh_test.go
@@ -1,6 +1,7 @@
 package bvtoken
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -12,6 +13,9 @@
 	"pgregory.net/rapid"
 )
 
+// The seed is fixed so that each run draws the same cases.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // view is what a router knows of its upstreams, by ID.
 func view(r *Router) map[bvconfig.UpstreamID]string {
 	out := map[bvconfig.UpstreamID]string{}
