Bound the age of the state whatever number of sources is silent

Cause: a follower asked one source after the other.

Sources whose answer is overdue when another one comes count as failed.

TestTurnsAway counts the given-up connection after the answer of the next source, since the call is now given up only then.

--- a/core/bvsource/bvsource.go
+++ b/core/bvsource/bvsource.go
@@ -14,7 +14,7 @@
 // # Usage
 //
 //	l := bvsource.New(len(sources), bvsource.Options{Seed: seed})
-//	i, wait := l.Next(now)
+//	i, wait := l.Next(now, func(i int) bool { return asked[i] })
 //	if wait == 0 {
 //		age, err := read(sources[i])
 //		if err != nil || !l.Recent(age) {
@@ -78,18 +78,20 @@
 }
 
 // Next returns the source to read from, or how long to wait until there is one
-// again.
-func (l *List) Next(now time.Time) (i int, wait time.Duration) {
-	soonest := 0
+// again. Sources for which skip is true are passed over, such as those that are
+// asked already.
+func (l *List) Next(now time.Time, skip func(i int) bool) (i int, wait time.Duration) {
+	wait = l.options.MostDelay
 	for i, s := range l.sources {
+		if skip(i) {
+			continue
+		}
 		if !now.Before(s.until) {
 			return i, 0
 		}
-		if s.until.Before(l.sources[soonest].until) {
-			soonest = i
-		}
+		wait = min(wait, s.until.Sub(now))
 	}
-	return soonest, l.sources[soonest].until.Sub(now)
+	return 0, wait
 }
 
 // Recent reports whether a state of that age may be used.
--- a/core/bvsource/bvsource_test.go
+++ b/core/bvsource/bvsource_test.go
@@ -7,6 +7,9 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// none passes over no source.
+func none(int) bool { return false }
+
 var start = time.Unix(1000, 0)
 
 // TestOrder guards against a balancer that reads the store although a source
@@ -16,7 +19,7 @@
 	const seed, other, store = 0, 1, 2
 	l := New(3, Options{})
 	next := func(now time.Time) int {
-		i, wait := l.Next(now)
+		i, wait := l.Next(now, none)
 		assert.Zero(t, wait)
 		return i
 	}
@@ -38,7 +41,7 @@
 	l := New(2, Options{})
 	now, calls := start, 0
 	for now.Before(start.Add(time.Minute)) {
-		i, wait := l.Next(now)
+		i, wait := l.Next(now, none)
 		if wait > 0 {
 			assert.LessOrEqual(t, wait, 2*time.Second)
 			now = now.Add(wait)
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -3,11 +3,12 @@
 //
 // A watch is a call that waits for changes. It may go silent for good, miss
 // its answer or be refused. The follower asks for short waits and bounds each
-// call from outside, so the age of the catalog stays within the wait and the
-// margin as long as a source answers new connections. After a failure it goes
-// on from the revision that it has, on a new connection or at the next source;
-// it lists all entries again only if the source has forgotten that part of the
-// history.
+// call from outside. When the state has grown old it asks one more source after
+// the other, while the calls before are still out, so the age of the state
+// stays bounded as long as any source answers new connections. After a failure
+// it goes on from the revision that it has, on a new connection or at the next
+// source; it lists all entries again only if the source has forgotten that part
+// of the history.
 //
 // A source that has enough followers names some of them, and the follower
 // follows one of these as long as it is well; then it comes back to its own
@@ -25,7 +26,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -33,7 +33,6 @@
 	"balsamvane/core/bvsource"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 )
 
@@ -56,6 +55,9 @@
 // errCycle is a failure of a source that follows this balancer itself.
 var errCycle = errors.New("bvfollower: source follows this balancer")
 
+// errOverdue is a failure of a source whose answer did not come when it was due.
+var errOverdue = errors.New("bvfollower: answer is overdue")
+
 // Listing holds all entries, or the changes up to a revision.
 type Listing struct {
 	Revision bvcatalog.Revision
@@ -136,7 +138,8 @@
 func (Listed) event()  {}
 func (Changed) event() {}
 
-// Follower follows the first of its sources that is well.
+// Follower follows the first of its sources that is well. While that leaves the
+// state to grow old, it asks the others too.
 type Follower struct {
 	sources []Source
 	list    *bvsource.List
@@ -153,10 +156,9 @@
 	listed   bool
 	revision bvcatalog.Revision
 	contact  time.Time // When the store has confirmed the state last.
-	paused   bool      // A pause came before the next call.
 	current  string    // Source of the last answer; empty if there was none.
 
-	named named
+	named *named // Nil if the own sources are asked.
 }
 
 // New returns a follower of the sources, the first one preferred.
@@ -168,7 +170,7 @@
 
 func (f *Follower) use(sources []Source) {
 	f.sources, f.current = sources, ""
-	f.named.clear()
+	f.leaveNamed()
 	f.list = bvsource.New(len(sources), bvsource.Options{Seed: f.options.Seed})
 }
 
@@ -197,6 +199,13 @@
 	f.next = nil
 }
 
+// hasNext reports whether sources were set that are not in use yet.
+func (f *Follower) hasNext() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next != nil
+}
+
 // Run follows the sources until ctx ends and reports to sink. It returns the
 // error of ctx.
 func (f *Follower) Run(ctx context.Context, sink func(Event)) error {
@@ -206,90 +215,13 @@
 			f.begin(ctx, sink)
 			continue
 		}
-		l, err := f.round(ctx, sink)
-		if err == nil && len(l.Changes) > 0 {
+		if changes := f.round(ctx, sink); changes > 0 {
 			f.sleep(ctx, f.options.Pause) // Changes in quick succession come in one answer.
-			f.paused = true
 		}
 	}
 	return ctx.Err()
 }
 
-// round asks a source that was named, or else the first of the own sources that
-// is well. It waits if none is.
-func (f *Follower) round(ctx context.Context, sink func(Event)) (Listing, error) {
-	if s, ok := f.named.first(); ok {
-		l, err := f.step(ctx, s, false, sink)
-		f.settleNamed(ctx, s, err)
-		return l, err
-	}
-	i, wait := f.list.Next(f.clock.Now())
-	if wait > 0 {
-		f.sleep(ctx, wait)
-		return Listing{}, nil
-	}
-	s := f.sources[i]
-	l, err := f.step(ctx, s, f.list.Doubtful(i), sink)
-	f.settle(ctx, i, s, err)
-	return l, err
-}
-
-// settle takes note of the outcome of a call to one of the own sources.
-func (f *Follower) settle(ctx context.Context, i int, s Source, err error) {
-	var r *Redirect
-	switch {
-	case ctx.Err() != nil:
-	case errors.As(err, &r):
-		f.redirected(i, s, r)
-	case err != nil:
-		f.failed(s, err)
-		f.list.Failed(f.clock.Now(), i)
-	default:
-		f.list.Answered(i)
-		f.answered(s)
-	}
-}
-
-// step makes one call to a source. A doubtful source is asked for a quick answer.
-func (f *Follower) step(ctx context.Context, s Source, doubtful bool, sink func(Event)) (Listing, error) {
-	if !f.listed {
-		l, err := f.call(ctx, f.options.ListTimeout, func(ctx context.Context) (Listing, error) {
-			return s.Store.List(ctx, func() {})
-		})
-		if err != nil {
-			return l, err
-		}
-		f.listed, f.revision = true, l.Revision
-		f.confirmed(l)
-		sink(Listed{Listing: l})
-		return Listing{}, nil
-	}
-	wait := cmp.Or(s.Wait, defaultWait)
-	if f.paused {
-		wait = max(wait-f.options.Pause, 0) // Together they are as long as a wait.
-	}
-	if doubtful {
-		wait = 0
-	}
-	f.paused = false
-	l, err := f.call(ctx, wait+f.options.WatchMargin, func(ctx context.Context) (Listing, error) {
-		return s.Store.Watch(ctx, Position{f.revision, f.clock.Since(f.contact)}, wait)
-	})
-	if errors.Is(err, ErrCompacted) {
-		f.log.Info("source has forgotten the history since the last answer; listing again",
-			zap.String("source", s.Name), zap.Int64("revision", int64(f.revision)))
-		f.listed = false
-		return l, nil
-	}
-	if err != nil {
-		return l, err
-	}
-	f.revision = max(f.revision, l.Revision)
-	f.confirmed(l)
-	sink(Changed{Listing: l})
-	return l, nil
-}
-
 // Path returns the control addresses of the balancers that the state comes
 // through, that of the source last.
 func (f *Follower) Path() []netip.AddrPort {
@@ -309,22 +241,6 @@
 	}
 }
 
-// call makes a bounded call. An answer that is too old, or that this balancer
-// has given itself, is a failure, but a listing is used in any case: it is
-// better than none.
-func (f *Follower) call(ctx context.Context, limit time.Duration, do func(context.Context) (Listing, error)) (Listing, error) {
-	l, err := f.bounded(ctx, limit, do)
-	switch {
-	case err != nil || !f.listed:
-		return l, err
-	case !f.list.Recent(l.Age):
-		return l, eris.Wrapf(errOld, "age %s", l.Age)
-	case slices.Contains(l.Path, f.options.Self):
-		return l, eris.Wrapf(errCycle, "path %v", l.Path)
-	}
-	return l, nil
-}
-
 func (f *Follower) bounded(ctx context.Context, limit time.Duration, do func(context.Context) (Listing, error)) (Listing, error) {
 	ctx, cancel := clockwork.WithTimeout(ctx, f.clock, limit)
 	defer cancel()
--- a/io/bvfollower/bvfollower_test.go
+++ b/io/bvfollower/bvfollower_test.go
@@ -169,9 +169,9 @@
 			c := f.next(f.store)
 			assert.False(t, c.list, "it goes on from the revision that it has")
 			assert.EqualValues(t, 5, c.after)
-			assert.Equal(t, 1, f.peer.count(), "a silent connection is given up")
 			c.answer <- answer{listing: Listing{Revision: 6}}
 			c = f.next(f.peer)
+			assert.Equal(t, 1, f.peer.count(), "a silent connection is given up")
 			assert.Zero(t, c.wait, "a source that failed is asked for a quick answer")
 			assert.EqualValues(t, 6, c.after)
 		})
--- a/io/bvfollower/named.go
+++ b/io/bvfollower/named.go
@@ -1,8 +1,7 @@
 package bvfollower
 
 import (
-	"context"
-	"errors"
+	"slices"
 
 	"go.uber.org/zap"
 )
@@ -19,58 +18,56 @@
 	depth   int // Redirections since then.
 }
 
-func (n *named) first() (Source, bool) {
-	if len(n.sources) == 0 {
-		return Source{}, false
+// leaveNamed goes back to the own sources.
+func (f *Follower) leaveNamed() {
+	if f.named == nil {
+		return
 	}
-	return n.sources[0], true
-}
-
-func (n *named) clear() {
-	for _, s := range n.sources {
+	for _, s := range f.named.sources {
 		s.Store.Disconnect()
 	}
-	*n = named{}
+	f.named = nil
 }
 
-// redirected follows what the own source i has named.
-func (f *Follower) redirected(i int, s Source, r *Redirect) {
-	f.named = named{by: i}
-	f.follow(s, r)
-}
-
-// follow takes the sources that s has named. If there are none, or too many
-// have named others, the own source that began it counts as failed.
-func (f *Follower) follow(s Source, r *Redirect) {
-	by, depth := f.named.by, f.named.depth+1
-	f.named.clear()
+// redirected follows the sources that the source of q has named. If there are
+// none, or too many have named others, the own source that began it counts as
+// failed.
+func (f *Follower) redirected(q *query, r *Redirect) {
+	by, depth := q.own, 1
+	if q.named != nil {
+		by, depth = q.named.by, q.named.depth+1
+	}
+	switch {
+	case q.named != nil && q.named != f.named:
+		return // Others are followed meanwhile.
+	case q.named == nil && f.named != nil:
+		// Those named before have let the state grow old.
+		f.list.Failed(f.clock.Now(), f.named.by)
+	}
+	f.leaveNamed()
 	if f.options.Peer == nil || len(r.Others) == 0 || depth > maxRedirects {
-		f.failed(s, r)
+		f.failed(q.source, r)
 		f.list.Failed(f.clock.Now(), by)
 		return
 	}
-	s.Store.Disconnect()
-	f.log.Info("source names others to follow", zap.String("source", s.Name), zap.Stringers("others", r.Others))
-	f.named = named{by: by, depth: depth}
+	q.source.Store.Disconnect()
+	f.log.Info("source names others to follow", zap.String("source", q.source.Name), zap.Stringers("others", r.Others))
+	f.named = &named{by: by, depth: depth}
 	for _, a := range r.Others {
 		f.named.sources = append(f.named.sources, f.options.Peer(a))
 	}
 }
 
-// settleNamed takes note of the outcome of a call to the named source s.
-func (f *Follower) settleNamed(ctx context.Context, s Source, err error) {
-	var r *Redirect
-	switch {
-	case ctx.Err() != nil:
-	case errors.As(err, &r):
-		f.follow(s, r)
-	case err != nil:
-		f.failed(s, err)
-		f.named.sources = f.named.sources[1:]
-		if len(f.named.sources) == 0 {
-			f.list.Failed(f.clock.Now(), f.named.by)
-		}
-	default:
-		f.answered(s)
+// namedFailed takes note that the named source of q has failed. When all that
+// were named have, so has the own source that began it.
+func (f *Follower) namedFailed(q *query) {
+	if q.named != f.named {
+		return
+	}
+	n := f.named
+	n.sources = slices.DeleteFunc(n.sources, func(s Source) bool { return s.Store == q.source.Store })
+	if len(n.sources) == 0 {
+		f.named = nil
+		f.list.Failed(f.clock.Now(), n.by)
 	}
 }
