Let an opening cost the same whatever the number of upstreams

Cause: a placement went through all upstreams of the service for each one that the limiter turned down, and the limiter through all that seem unhealthy.

Change: each service keeps its usable upstreams apart from those that are silent or out of cold budget, which are looked at again when their time has come.

Ruled out: comparing all usable upstreams once (linear, 100 us at 5,000).

--- a/core/bvlimit/bvlimit.go
+++ b/core/bvlimit/bvlimit.go
@@ -28,6 +28,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -332,7 +333,7 @@
 	if share < 1 {
 		return false
 	}
-	size := max(1, share/2)
+	size := flatSize(share)
 	if gap := at - x.refilled; gap > 0 {
 		x.tokens = min(x.tokens+(share-size)*gap.Seconds(), size)
 		x.refilled = at
@@ -344,6 +345,22 @@
 	return true
 }
 
+// flatSize returns the size of a flat bucket; the rest of the share refills it
+// in a second.
+func flatSize(share float64) float64 { return max(1, share/2) }
+
+// never is longer than any warm-up.
+const never = 24 * time.Hour
+
+// untilNextFlow returns when a flat bucket that was just refilled holds a flow.
+func untilNextFlow(tokens, share float64) time.Duration {
+	refill := share - flatSize(share)
+	if refill <= 0 {
+		return never
+	}
+	return min(time.Duration(math.Ceil((1-tokens)/refill*float64(time.Second))), never)
+}
+
 // Admit reports whether this balancer may place a new flow on u now. If so it
 // takes the flow from u's rate and counts an opening as sent to u, so it is
 // called only for a flow that is then placed. It does not allocate.
@@ -393,6 +410,9 @@
 // signal is likely at fault, and the rest could not carry the load.
 func (l *Limiter) ejected(x *upstream, at time.Duration) bool {
 	l.judge(x, at)
+	if l.options.EjectFraction >= 1 {
+		return x.bad
+	}
 	bad := 0
 	for _, o := range x.service.members {
 		if o.bad {
--- a/core/bvtoken/bench_test.go
+++ b/core/bvtoken/bench_test.go
@@ -45,8 +45,8 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
 }
 
-// heap returns the bytes of the heap in use.
-func heap() uint64 {
+// heapInUse returns the bytes of the heap in use.
+func heapInUse() uint64 {
 	var m runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&m)
@@ -58,11 +58,11 @@
 func BenchmarkChange(b *testing.B) {
 	for _, n := range []int{150, 3000, 140000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			before := heap()
+			before := heapInUse()
 			f := newLarge(n)
 			x := f.caller(largeRoute(0))
 			f.open(x)
-			grown := heap() - before
+			grown := heapInUse() - before
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				u := largeUpstream(i % n)
@@ -74,3 +74,61 @@
 		})
 	}
 }
+
+// newService returns a fixture with one service of n upstreams over four
+// zones, of which every coldth is cold; none if that is 0.
+func newService(n, coldth int) *fixture {
+	f := &fixture{catalog: bvcatalog.New(bvcatalog.Options{}), now: start, revision: 1}
+	f.router = New(Options{Zone: "zone-a"}, f.catalog)
+	cs := []bvcatalog.Change{bvcatalog.Declared{
+		Version:  1,
+		Routes:   []bvcatalog.Route{{Address: tickets, Backends: []bvcatalog.Backend{{Service: "desk", Weight: 1}}}},
+		Services: []bvcatalog.ServiceLimits{{Name: "desk"}},
+	}}
+	for i := range n {
+		f.revision++
+		u := largeUpstream(i)
+		u.Service = "desk"
+		if coldth > 0 && i/4%coldth == 0 {
+			u.ColdFor = time.Hour
+		}
+		cs = append(cs, bvcatalog.UpstreamPut{Revision: f.revision, Upstream: u})
+	}
+	f.catalog.Replace(f.now, 0, f.revision, cs)
+	f.pass(3 * time.Second)
+	return f
+}
+
+// BenchmarkOpen measures an opening and, if upstreams answer, the packet after
+// it, 1 ms apart: with all upstreams well, with a sixth of them cold and without
+// a budget, and with all of them silent.
+func BenchmarkOpen(b *testing.B) {
+	tests := []struct {
+		name   string
+		coldth int
+		silent bool
+	}{{"well", 0, false}, {"cold", 6, false}, {"silent", 0, true}}
+	for _, tt := range tests {
+		for _, n := range []int{14, 480, 5000} {
+			b.Run(fmt.Sprint(tt.name, "/", n), func(b *testing.B) {
+				f := newService(n, tt.coldth)
+				open := func() {
+					f.now = f.now.Add(time.Millisecond)
+					f.catalog.Answered(f.now, 0)
+					x := f.caller(tickets)
+					f.open(x)
+					if !tt.silent {
+						f.router.Route(f.now, x.packet(bvflow.PhaseEstablished, 0))
+					}
+				}
+				for range 3 * n {
+					open()
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					open()
+				}
+			})
+		}
+	}
+}
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -126,13 +126,15 @@
 	signs    signs
 	inZone   bool
 	coldSeen time.Time // ColdUntil that the limiter was told.
-	tried    uint64    // Number of the placement that tried it last.
+	standing standing
+	index    int       // In the list that standing tells.
+	until    time.Time // Until when it is left out.
 }
 
 // serviceTargets are the upstreams of a service.
 type serviceTargets struct {
-	all     []*target
-	targets []*target // Those that may take new flows.
+	all    []*target
+	choice choice // Of those that may take new flows.
 	// usual is the mean latency of the service's requests; 0 if none was
 	// measured.
 	usual time.Duration
@@ -153,9 +155,11 @@
 	handshake  handshake
 	recent     recent
 	unknowns   map[bvcatalog.Token]time.Time // When a token without upstream was seen first.
-	placement  uint64
 	evidence   evidence
-	zones      map[string]*zoneSigns
+	// compared counts the upstreams that were compared for new flows, which is
+	// what openings cost.
+	compared uint64
+	zones    map[string]*zoneSigns
 }
 
 // New returns a router that decides by the catalog, which its user keeps up to
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -123,42 +123,81 @@
 	return route.Backends[i].Service
 }
 
+// maxBusyWindows bounds how many parts of a service are looked through for an
+// upstream that is not busy.
+const maxBusyWindows = 4
+
 // place returns the upstream for a new flow, or nil and the reason. It tries
-// upstreams in the order of their cost.
+// upstreams in the order of their cost; those that are turned down rest.
 func (r *Router) place(now time.Time, f newFlow) (*target, Reason) {
 	if f.service == nil {
 		return nil, ReasonNoUpstream
 	}
-	r.placement++
-	why, busy := ReasonNoUpstream, false
-	settled := r.catalog.Settled()
-	for {
-		t := r.next(now, f)
-		if t == nil {
-			break
+	c := &f.service.choice
+	c.wake(now)
+	busy := 0
+	for window := 0; len(c.near)+len(c.farther) > 0 && busy < maxBusyWindows; window++ {
+		t, skipped := r.try(now, f, window)
+		if t != nil && !t.inZone {
+			return t, ReasonPlacedFarther
+		}
+		if t != nil {
+			return t, ReasonPlaced
+		}
+		if skipped {
+			busy++
 		}
-		t.tried = r.placement
+	}
+	switch t := r.lastResort(now, f); {
+	case busy > 0:
+		return nil, ReasonBusy
+	case t != nil:
+		return t, ReasonPlacedSilent
+	case len(c.cold) > 0:
+		return nil, ReasonColdBudget
+	}
+	return nil, ReasonNoUpstream
+}
+
+// try returns the best usable upstream of a window, or nil. It reports whether
+// one was passed over that is busy.
+func (r *Router) try(now time.Time, f newFlow, window int) (t *target, busy bool) {
+	c, settled := &f.service.choice, r.catalog.Settled()
+	var cs candidates
+	cs.draw(c, f.key, window)
+	r.compared += uint64(cs.n)
+	for i := range cs.n {
+		cs.costs[i] = r.cost(now, f, cs.targets[i])
+	}
+	for t := cs.best(); t != nil; t = cs.best() {
 		if !settled && t.busy() {
 			busy = true
 			continue
 		}
-		if r.limiter.Admit(now, t.entry.ID) {
-			if !t.inZone {
-				return t, ReasonPlacedFarther
-			}
-			return t, ReasonPlaced
+		if !r.limiter.Admit(now, t.entry.ID) {
+			r.rest(now, t)
+			continue
 		}
-		if t.entry.Cold(now) {
-			why = ReasonColdBudget
+		if r.limiter.Silent(t.entry.ID) { // One opening is tried, until its outcome is known.
+			c.rest(t, standingSilent, now.Add(r.options.AnswerTimeout))
 		}
+		return t, busy
 	}
-	if busy {
-		return nil, ReasonBusy
+	return nil, busy
+}
+
+// rest leaves out an upstream that the limiter has turned down, until it may
+// take a flow.
+func (r *Router) rest(now time.Time, t *target) {
+	if t.standing == standingNone {
+		return
 	}
-	if t := r.lastResort(now, f.service); t != nil {
-		return t, ReasonPlacedSilent
+	until, silent := r.limiter.LeftOutUntil(now, t.entry.ID)
+	why := standingCold
+	if silent {
+		why = standingSilent
 	}
-	return nil, why
+	t.service.choice.rest(t, why, until)
 }
 
 // busy reports whether an upstream has as many requests of this balancer alone
@@ -167,22 +206,6 @@
 	return t.load.open+t.load.opening >= int(max(t.entry.Slots, 1))
 }
 
-// next returns the best upstream that this placement has not tried.
-func (r *Router) next(now time.Time, f newFlow) *target {
-	var best *target
-	var least float64
-	for _, t := range f.service.targets {
-		if t.tried == r.placement {
-			continue
-		}
-		n := r.cost(now, f, t)
-		if best == nil || n < least {
-			best, least = t, n
-		}
-	}
-	return best
-}
-
 // The weights of what makes an upstream cost more. The unit is the time that a
 // request usually takes on a free upstream.
 const (
@@ -257,10 +280,13 @@
 
 // lastResort returns an upstream that did not answer lately, if that is all
 // there is: a wrong suspicion of all must not end the service.
-func (r *Router) lastResort(now time.Time, s *serviceTargets) *target {
+func (r *Router) lastResort(now time.Time, f newFlow) *target {
+	var cs candidates
+	cs.take(pool(f.service.choice.silent), f.key.High(), maxCandidates)
+	r.compared += uint64(cs.n)
 	var best *target
-	for _, t := range s.targets {
-		if !r.limiter.Silent(t.entry.ID) || t.entry.Cold(now) {
+	for _, t := range cs.targets[:cs.n] {
+		if t.entry.Cold(now) {
 			continue
 		}
 		if best == nil || t.load.requests(now) < best.load.requests(now) {
--- a/core/bvtoken/refresh.go
+++ b/core/bvtoken/refresh.go
@@ -50,9 +50,6 @@
 		t.entry, t.service, t.zone, t.inZone = e, st, r.zone(e.Zone), e.Zone == r.options.Zone
 		st.all = append(st.all, t)
 		us = append(us, r.limits(s, e))
-		if e.Takes() && !r.catalog.ZoneOut(e.Zone) {
-			st.targets = append(st.targets, t)
-		}
 	}
 	if old != nil {
 		for _, t := range old.all {
@@ -63,10 +60,25 @@
 	}
 	r.limiter.SetService(now, s.Name, us)
 	for _, t := range st.all {
-		if !t.coldSeen.Equal(t.entry.ColdUntil) {
-			t.coldSeen = t.entry.ColdUntil
-			r.limiter.SetCold(now, t.entry.ID, t.entry.ColdUntil.Sub(now))
-		}
+		r.enter(now, t)
+	}
+}
+
+// enter puts an upstream into a list of its service. One that is left out
+// stays so until its time, unless the platform says something new about it.
+func (r *Router) enter(now time.Time, t *target) {
+	before := t.standing
+	t.standing = standingNone
+	if !t.coldSeen.Equal(t.entry.ColdUntil) {
+		t.coldSeen, t.until = t.entry.ColdUntil, time.Time{}
+		r.limiter.SetCold(now, t.entry.ID, t.entry.ColdUntil.Sub(now))
+	}
+	switch c := &t.service.choice; {
+	case !t.entry.Takes() || r.catalog.ZoneOut(t.entry.Zone):
+	case before != standingNone && before != standingUsable && now.Before(t.until):
+		c.rest(t, before, t.until)
+	default:
+		c.use(t)
 	}
 }
 
--- a/core/bvtoken/refresh_test.go
+++ b/core/bvtoken/refresh_test.go
@@ -23,8 +23,10 @@
 		for _, t := range s.all {
 			out[t.entry.ID] = fmt.Sprint(name, t.entry.Address, t.inZone, t.service == s, r.targets[t.entry.ID] == t)
 		}
-		for _, t := range s.targets {
-			out[t.entry.ID] += " takes"
+		for _, p := range []pool{s.choice.near, s.choice.farther, pool(s.choice.silent), pool(s.choice.cold)} {
+			for i, t := range p {
+				out[t.entry.ID] += fmt.Sprint(" takes", t.index == i)
+			}
 		}
 	}
 	return out
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -152,6 +152,10 @@
 	r.evidence.answered()
 	t.zone.answer(now)
 	r.limiter.Answered(now, t.entry.ID)
+	if t.standing == standingSilent {
+		t.service.choice.drop(t)
+		t.service.choice.use(t)
+	}
 }
 
 // answered takes note of an answered request.
@@ -181,7 +185,9 @@
 	t.signs.unanswered(now)
 	t.zone.unanswered(now, t.entry.ID)
 	r.evidence.unanswered(now)
-	r.limiter.Unanswered(now, t.entry.ID)
+	if r.limiter.Unanswered(now, t.entry.ID) {
+		r.rest(now, t)
+	}
 }
 
 // forget drops the request of a flow that is reset.
