Share the budget of cold upstreams among the seeds

Cause: the budget was divided by 128 balancers, whatever the fleet. Beyond 128 the sum exceeds it; and since a share below one flow places none, a service whose upstreams were all cold served nothing for 2 s.

Change: only seeds place flows on cold upstreams. They are few and listed in the settings of all, so the sum holds for any fleet, in touch or not. A seed places at most the whole flows of its share in any span of a second; the bucket before gave a share of 1.25 flows one flow in 4 s.

TestColdBudgetOfFleet (8, 70, 352 and 15,000 balancers, a seed in exchange): with the divisor of 128 no flow was placed. TestSetColdBalancers.

Ruled out: shares by rendezvous over followers (they differ while the tree changes, and then add up), a larger divisor (shares below one flow), and time slots (the time of day jumps).

--- a/core/bvlimit/answer.go
+++ b/core/bvlimit/answer.go
@@ -52,25 +52,6 @@
 	return x != nil && x.silent >= silentMin
 }
 
-// LeftOutUntil returns until when u takes no new flow after Admit has turned one
-// down, and whether that is because u does not answer. Otherwise its cold
-// budget is used up.
-func (l *Limiter) LeftOutUntil(now time.Time, u bvconfig.UpstreamID) (until time.Time, silent bool) {
-	x := l.upstreams[u]
-	if x == nil {
-		return now, false
-	}
-	at := l.since(now)
-	if at < x.silentUntil {
-		return l.epoch.Add(x.silentUntil), true
-	}
-	warm := x.rampStart + x.WarmUp
-	if rate, bounded := l.rate(x, at); bounded && x.Flat {
-		return l.epoch.Add(min(warm, at+untilNextFlow(x.tokens, rate/l.balancers))), false
-	}
-	return now.Add(l.options.Burst), false
-}
-
 // SetCold tells for how much longer an upstream is cold according to the
 // platform; 0 ends its warm-up. It replaces what the limiter assumed.
 func (l *Limiter) SetCold(now time.Time, u bvconfig.UpstreamID, left time.Duration) {
--- a/core/bvlimit/bvlimit.go
+++ b/core/bvlimit/bvlimit.go
@@ -28,7 +28,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -156,6 +155,8 @@
 	// silent counts the last openings in a row that stayed unanswered.
 	silent      int
 	silentUntil time.Duration
+	// placed are the times of the flows in the last span, if the bound is flat.
+	placed []time.Duration
 }
 
 // openings counts the openings sent to an upstream in a part of the window.
@@ -327,40 +328,6 @@
 	return true
 }
 
-// takeFlat takes one flow from a bucket whose size and refill in a second
-// together are the share, so that no span of a second gets more.
-func (l *Limiter) takeFlat(x *upstream, share float64, at time.Duration) bool {
-	if share < 1 {
-		return false
-	}
-	size := flatSize(share)
-	if gap := at - x.refilled; gap > 0 {
-		x.tokens = min(x.tokens+(share-size)*gap.Seconds(), size)
-		x.refilled = at
-	}
-	if x.tokens < 1 {
-		return false
-	}
-	x.tokens--
-	return true
-}
-
-// flatSize returns the size of a flat bucket; the rest of the share refills it
-// in a second.
-func flatSize(share float64) float64 { return max(1, share/2) }
-
-// never is longer than any warm-up.
-const never = 24 * time.Hour
-
-// untilNextFlow returns when a flat bucket that was just refilled holds a flow.
-func untilNextFlow(tokens, share float64) time.Duration {
-	refill := share - flatSize(share)
-	if refill <= 0 {
-		return never
-	}
-	return min(time.Duration(math.Ceil((1-tokens)/refill*float64(time.Second))), never)
-}
-
 // Admit reports whether this balancer may place a new flow on u now. If so it
 // takes the flow from u's rate and counts an opening as sent to u, so it is
 // called only for a flow that is then placed. It does not allocate.
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -99,7 +99,7 @@
 	// until they are answered. 4,096 each.
 	MaxPending int
 	// ColdBalancers is the number of balancers that share the budget of a cold
-	// upstream. 1.
+	// upstream; 0 if this one places no flows there.
 	ColdBalancers int
 	// ColdFactor and ColdSlack give the flows per second that a cold upstream
 	// bears at most, from the rate that is declared for it. 1 and 0.
@@ -112,7 +112,6 @@
 	o.AnswerTimeout = cmp.Or(o.AnswerTimeout, 1400*time.Millisecond)
 	o.RequestTimeout = cmp.Or(o.RequestTimeout, 3*time.Second)
 	o.MaxPending = cmp.Or(o.MaxPending, 4096)
-	o.ColdBalancers = cmp.Or(o.ColdBalancers, 1)
 	o.ColdFactor = cmp.Or(o.ColdFactor, 1)
 	return o
 }
--- a/core/bvtoken/refresh.go
+++ b/core/bvtoken/refresh.go
@@ -96,7 +96,7 @@
 func (r *Router) limits(s *bvcatalog.Service, e *bvcatalog.Entry) bvlimit.Upstream {
 	return bvlimit.Upstream{
 		ID: e.ID, Service: e.Service, Slots: e.Slots,
-		Cold: s.ColdFlowsPerSecond*r.options.ColdFactor + r.options.ColdSlack, Flat: true,
+		Cold: r.coldRate(s.ColdFlowsPerSecond), Flat: true,
 		WarmUp: max(s.ColdFor, e.ColdFor), Leaving: !e.Takes(),
 	}
 }
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -111,7 +111,7 @@
 		settings: s, latest: s, options: o.withDefaults(), clock: clock, log: log, metrics: m, codec: c, follower: f,
 		catalog: catalog, started: clock.Now(), complete: make(chan struct{}), changed: make(chan struct{}),
 		router: bvtoken.New(bvtoken.Options{
-			Zone: s.Zone, ColdBalancers: s.Limits.ColdBalancers,
+			Zone: s.Zone, ColdBalancers: coldBalancers(s),
 			ColdFactor: s.Limits.ColdFactor, ColdSlack: s.Limits.ColdSlack,
 		}, catalog),
 		counters:  newCounters(m.Scope),
@@ -125,6 +125,15 @@
 	return w, nil
 }
 
+// coldBalancers returns the number of balancers that share the budget of a cold
+// upstream, or 0 if this one has no share.
+func coldBalancers(s bvsettings.Settings) int {
+	if len(s.Seeds) == 0 {
+		return s.Limits.ColdBalancers
+	}
+	return bvtoken.ColdBalancers(s.Listen.Control, s.Seeds)
+}
+
 func (w *Forwarder) listen() error {
 	ctx, l := context.Background(), &net.ListenConfig{}
 	sockets, err := bvtunnel.Listen(ctx, w.settings.Listen.Fabric, 1)
--- a/io/bvforwarder/reload.go
+++ b/io/bvforwarder/reload.go
@@ -65,6 +65,9 @@
 	before := w.latest
 	w.latest = s
 	w.options.Reload.Apply(s)
+	w.mu.Lock()
+	w.router.SetColdBalancers(coldBalancers(s))
+	w.mu.Unlock()
 	s.Seeds, before.Seeds = nil, nil
 	w.log.Info("settings reloaded", zap.Bool("needsRestart", !reflect.DeepEqual(s, before)))
 }
--- a/io/bvsettings/bvsettings.go
+++ b/io/bvsettings/bvsettings.go
@@ -97,7 +97,7 @@
 	PacketQueue           int // Packets waiting for a decision.
 	ControlBytesPerSecond int
 	// ColdBalancers is the number of balancers that may send to one cold
-	// upstream at a time; each has an equal share of what that bears: the
+	// upstream at a time if there are no seeds, which do it alone otherwise; each has an equal share of what that bears: the
 	// declared rate by ColdFactor, plus ColdSlack flows per second.
 	ColdBalancers int
 	ColdFactor    float64
