Keep live upstreams in use while openings are sent that nobody follows up

Cause: an opening without a next packet counted as unanswered by its upstream. A flood with forged addresses at ten times the rate of callers left 11 of 14 live upstreams out on average, took a zone for down nearly all the time, and three forged openings over 350 ms had an open flow at a live upstream reset. It also pushed waiting openings of callers out of their 4,096.

Change: the mean run of openings that are not followed up, at upstreams that serve, tells how many in a row show a crash; two, as before, without a flood. Packets that a caller repeats count as before, and only these end open flows. Openings of callers that have gone on before wait in a table of their own.

TestBoundedMemory counts both tables.

Ruled out: ignoring openings of unknown callers (a crash is found only by their copies), and a bound on openings by address (forged ones differ).

--- a/core/bvlimit/answer.go
+++ b/core/bvlimit/answer.go
@@ -6,11 +6,13 @@
 	"balsamvane/core/bvconfig"
 )
 
-// The rule for upstreams that leave openings unanswered. After silentMin of
-// them in a row an upstream is left out for silentFirst, which doubles with
-// each further one up to silentMost. One opening is then tried.
+// SilentMin is the usual number of unanswered openings in a row after which an
+// upstream is left out.
+const SilentMin = 2
+
+// The time for which an upstream that leaves openings unanswered is left out. It
+// doubles with each further one up to silentMost. One opening is then tried.
 const (
-	silentMin   = 2
 	silentFirst = 1 * time.Second
 	silentMost  = 4 * time.Second
 )
@@ -18,38 +20,81 @@
 // Answered records that u has answered an opening.
 func (l *Limiter) Answered(now time.Time, u bvconfig.UpstreamID) {
 	x := l.upstreams[u]
-	if x == nil || x.silent == 0 {
+	if x == nil || x.silent == 0 && x.repeated == 0 {
 		return
 	}
-	x.silent, x.silentUntil = 0, 0
+	x.silent, x.repeated, x.silentUntil = 0, 0, 0
 	l.judge(x, l.since(now))
 }
 
-// Unanswered records that u did not answer an opening in time. It reports whether u is left out from now on.
+// Unanswered records that u did not answer an opening in time, as far as
+// packets tell. It reports whether u is left out from now on.
 func (l *Limiter) Unanswered(now time.Time, u bvconfig.UpstreamID) bool {
 	x := l.upstreams[u]
-	if x == nil || l.options.noRetransmits {
+	if x == nil {
 		return false
 	}
-	at := l.since(now)
 	x.silent++
-	if x.silent < silentMin {
+	return l.leaveOut(now, x)
+}
+
+// Repeated records that a caller has repeated a packet since u did not answer,
+// beside [Limiter.Unanswered] for that packet. Nobody does so who does not wait
+// for an answer: SilentMin of them are enough to leave u out, whatever
+// [Limiter.SetSilentMin] says. It reports whether u is left out from now on.
+func (l *Limiter) Repeated(now time.Time, u bvconfig.UpstreamID) bool {
+	x := l.upstreams[u]
+	if x == nil {
+		return false
+	}
+	x.repeated++
+	return l.leaveOut(now, x)
+}
+
+// leaveOut leaves an upstream out if enough openings were not answered.
+func (l *Limiter) leaveOut(now time.Time, x *upstream) bool {
+	beyond := l.beyondSilentMin(x)
+	if beyond < 0 || l.options.noRetransmits {
 		return false
 	}
 	wait := silentMost
-	if n := x.silent - silentMin; n < 8 {
-		wait = min(silentFirst<<n, silentMost)
+	if beyond < 8 {
+		wait = min(silentFirst<<beyond, silentMost)
 	}
+	at := l.since(now)
 	x.silentUntil = at + wait
 	l.judge(x, at)
 	return true
 }
 
+// beyondSilentMin returns how many more unanswered openings there were than it
+// takes to leave an upstream out; it is negative if there were fewer.
+func (l *Limiter) beyondSilentMin(x *upstream) int {
+	return max(x.silent-l.silentMin, x.repeated-SilentMin)
+}
+
 // Silent reports whether u has left the last openings unanswered, whatever
 // else is known of it.
 func (l *Limiter) Silent(u bvconfig.UpstreamID) bool {
 	x := l.upstreams[u]
-	return x != nil && x.silent >= silentMin
+	return x != nil && l.beyondSilentMin(x) >= 0
+}
+
+// SetSilentMin sets the number of unanswered openings in a row after which an
+// upstream is left out, [SilentMin] at first. It grows while many openings are
+// sent that nobody follows up. It reports whether that changes the
+// number. Upstreams that were left out for fewer are not any more.
+func (l *Limiter) SetSilentMin(n int) bool {
+	if n == l.silentMin {
+		return false
+	}
+	l.silentMin = n
+	return true
+}
+
+// leftOut reports whether an upstream is left out because it is silent.
+func (l *Limiter) leftOut(x *upstream, at time.Duration) bool {
+	return at < x.silentUntil && l.beyondSilentMin(x) >= 0
 }
 
 // SetCold tells for how much longer an upstream is cold according to the
--- a/core/bvlimit/bvlimit.go
+++ b/core/bvlimit/bvlimit.go
@@ -154,6 +154,7 @@
 	bad        bool
 	// silent counts the last openings in a row that stayed unanswered.
 	silent      int
+	repeated    int // Those among them that the caller repeated.
 	silentUntil time.Duration
 	// placed are the times of the flows in the last span, if the bound is flat.
 	placed []time.Duration
@@ -177,12 +178,13 @@
 	services   map[string]*service
 	tableLevel int
 	queueTicks int
+	silentMin  int
 }
 
 // New returns a limiter without upstreams. Its share is not enabled.
 func New(o Options) *Limiter {
 	return &Limiter{
-		options: o.withDefaults(), balancers: 1,
+		options: o.withDefaults(), balancers: 1, silentMin: SilentMin,
 		upstreams: map[bvconfig.UpstreamID]*upstream{}, services: map[string]*service{},
 	}
 }
--- a/core/bvlimit/flat.go
+++ b/core/bvlimit/flat.go
@@ -45,7 +45,7 @@
 		return now, false
 	}
 	at := l.since(now)
-	if at < x.silentUntil {
+	if l.leftOut(x, at) {
 		return l.epoch.Add(x.silentUntil), true
 	}
 	rate, bounded := l.rate(x, at)
--- a/core/bvlimit/health.go
+++ b/core/bvlimit/health.go
@@ -110,7 +110,7 @@
 
 // judge updates whether an upstream appears unhealthy.
 func (l *Limiter) judge(x *upstream, at time.Duration) {
-	x.bad = x.failures >= l.options.ProbeFailures || at < x.ejectUntil || at < x.silentUntil || l.refuses(x, at)
+	x.bad = x.failures >= l.options.ProbeFailures || at < x.ejectUntil || l.leftOut(x, at) || l.refuses(x, at)
 }
 
 // refuses reports whether a recent report says that an upstream takes no more
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -95,8 +95,8 @@
 	// RequestTimeout is how long a request may wait for its answer until it is
 	// no longer counted. 3 s.
 	RequestTimeout time.Duration
-	// MaxPending bounds the openings and the requests that are remembered
-	// until they are answered. 4,096 each.
+	// MaxPending bounds the openings of known callers, those of others, and the
+	// requests that are remembered until they are answered. 4,096 each.
 	MaxPending int
 	// ColdBalancers is the number of balancers that share the budget of a cold
 	// upstream; 0 if this one places no flows there.
@@ -118,16 +118,18 @@
 
 // target is an upstream as the router sees it.
 type target struct {
-	entry    *bvcatalog.Entry
-	service  *serviceTargets
-	zone     *zoneSigns
-	load     load
-	signs    signs
-	inZone   bool
-	coldSeen time.Time // ColdUntil that the limiter was told.
-	standing standing
-	index    int       // In the list that standing tells.
-	until    time.Time // Until when it is left out.
+	entry   *bvcatalog.Entry
+	service *serviceTargets
+	zone    *zoneSigns
+	load    load
+	signs   signs
+	// unfollowed counts the openings in a row whose callers did not go on.
+	unfollowed int
+	inZone     bool
+	coldSeen   time.Time // ColdUntil that the limiter was told.
+	standing   standing
+	index      int       // In the list that standing tells.
+	until      time.Time // Until when it is left out.
 }
 
 // serviceTargets are the upstreams of a service.
@@ -149,9 +151,10 @@
 	built      bool
 	targets    map[bvconfig.UpstreamID]*target
 	services   map[string]*serviceTargets
-	pending    pending
+	pending    openings
 	requests   requests
 	handshake  handshake
+	followUps  followUps
 	recent     recent
 	unknowns   map[bvcatalog.Token]time.Time // When a token without upstream was seen first.
 	evidence   evidence
@@ -171,6 +174,6 @@
 		hasher:  bvflow.NewHasher(o.Seed),
 		targets: map[bvconfig.UpstreamID]*target{}, services: map[string]*serviceTargets{},
 		unknowns: map[bvcatalog.Token]time.Time{}, zones: map[string]*zoneSigns{},
-		pending: newPending(o.MaxPending), requests: newRequests(o.MaxPending),
+		pending: newOpenings(o.MaxPending), requests: newRequests(o.MaxPending),
 	}
 }
--- a/core/bvtoken/choice.go
+++ b/core/bvtoken/choice.go
@@ -114,6 +114,20 @@
 	}
 }
 
+// restore makes the silent upstreams usable for which served is true.
+func (c *choice) restore(served func(*target) bool) {
+	var back []*target
+	for _, t := range c.silent {
+		if served(t) {
+			back = append(back, t)
+		}
+	}
+	for _, t := range back {
+		c.drop(t)
+		c.use(t)
+	}
+}
+
 const (
 	// maxCandidates bounds the upstreams that are compared for one flow, and
 	// maxNear those of the own zone among them. The best of that many drawn at
--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -47,8 +47,10 @@
 // evidence is what all upstreams together say about this balancer's own links.
 type evidence struct{ signs }
 
-func (e *evidence) isolated(now time.Time) bool {
-	return e.missed >= isolatedMin && e.last.Sub(e.first) >= isolatedAfter && now.Sub(e.last) < isolatedFor
+// isolated reports whether this balancer seems to reach no upstream. At least
+// least packets in a row show that.
+func (e *evidence) isolated(now time.Time, least int) bool {
+	return e.missed >= least && e.last.Sub(e.first) >= isolatedAfter && now.Sub(e.last) < isolatedFor
 }
 
 const (
@@ -64,7 +66,8 @@
 // sends one of many upstreams a flow now and then only, so if all of a zone
 // fail, their own signs show that one by one, each at the cost of some flows.
 type zoneSigns struct {
-	missed    int                 // Changes of last since the last answer.
+	missed    int                 // Unacknowledged packets since the last answer.
+	changes   int                 // Changes of last since the last answer.
 	last      bvconfig.UpstreamID // The upstream that left a packet unacknowledged last.
 	downUntil time.Time
 	answered  time.Time // The last answer.
@@ -72,12 +75,15 @@
 
 func (z *zoneSigns) answer(now time.Time) { *z = zoneSigns{answered: now} }
 
-func (z *zoneSigns) unanswered(now time.Time, u bvconfig.UpstreamID) {
+// unanswered takes note of an unacknowledged packet. At least least of them in a
+// row, at several upstreams, show that the zone is down.
+func (z *zoneSigns) unanswered(now time.Time, u bvconfig.UpstreamID, least int) {
+	z.missed++
 	if u != z.last {
-		z.missed++
+		z.changes++
 		z.last = u
 	}
-	if z.missed >= zoneMin {
+	if z.changes >= zoneMin && z.missed >= least {
 		z.downUntil = now.Add(zoneDownFor)
 	}
 }
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -44,7 +44,7 @@
 		why = ReasonPlacedAgain
 	}
 	t.load.add(now, 1)
-	r.opened(now, k, t)
+	r.opened(now, p.Source.Addr(), k, t)
 	r.recent.put(p.Source.Addr(), k)
 	return forward(t.entry, why)
 }
@@ -65,18 +65,19 @@
 // caller.
 func (r *Router) waiting(caller netip.Addr) (us [recentOpenings]bvconfig.UpstreamID) {
 	for i, k := range r.recent.openings(caller) {
-		us[i] = r.pending.openings[k].upstream
+		o, _ := r.pending.get(k)
+		us[i] = o.upstream
 	}
 	return us
 }
 
 // opened takes note of a placed opening, which may be a repeated one.
-func (r *Router) opened(now time.Time, k bvflow.Key, t *target) {
-	if before, ok := r.pending.answered(k); ok {
+func (r *Router) opened(now time.Time, caller netip.Addr, k bvflow.Key, t *target) {
+	if before, ok := r.pending.removed(k); ok {
 		r.settle(before)
 	}
 	t.load.opening++
-	if lost, full := r.pending.put(k, opening{upstream: t.entry.ID, at: now}); full {
+	if lost, full := r.pending.put(caller, k, opening{upstream: t.entry.ID, at: now}); full {
 		r.settle(lost)
 	}
 }
@@ -91,15 +92,14 @@
 // repeated returns the upstream that did not answer the opening before, if
 // there was one, and counts that.
 func (r *Router) repeated(now time.Time, k bvflow.Key) bvconfig.UpstreamID {
-	o, ok := r.pending.openings[k]
+	o, ok := r.pending.get(k)
 	if !ok {
 		return 0
 	}
-	if t := r.targets[o.upstream]; t != nil && !o.judged {
-		r.unanswered(now, t)
+	if t := r.targets[o.upstream]; t != nil {
+		r.unanswered(now, t, o.judged)
 	}
-	o.judged = true
-	r.pending.openings[k] = o
+	r.pending.judged(k)
 	return o.upstream
 }
 
--- a/core/bvtoken/recent.go
+++ b/core/bvtoken/recent.go
@@ -27,10 +27,13 @@
 	keys    [recentOpenings]bvflow.Key
 }
 
-func (r *recent) slot(a netip.Addr) *recentCaller {
+func (r *recent) slot(a netip.Addr) *recentCaller { return &r.slots[slotOf(a, recentCallers)] }
+
+// slotOf returns the slot of an address in a table of n.
+func slotOf(a netip.Addr, n uint64) uint64 {
 	b := a.As16()
 	x := binary.BigEndian.Uint64(b[:8]) ^ binary.BigEndian.Uint64(b[8:])
-	return &r.slots[(x*0x9e3779b97f4a7c15)>>32%recentCallers]
+	return (x * 0x9e3779b97f4a7c15) >> 32 % n
 }
 
 // put adds an opening.
@@ -50,3 +53,13 @@
 	}
 	return [recentOpenings]bvflow.Key{}
 }
+
+// callers remembers callers that have gone on with an opening. Callers that
+// share a slot forget each other.
+type callers struct {
+	slots [recentCallers]netip.Addr
+}
+
+func (c *callers) put(a netip.Addr) { c.slots[slotOf(a, recentCallers)] = a }
+
+func (c *callers) contains(a netip.Addr) bool { return c.slots[slotOf(a, recentCallers)] == a }
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -5,6 +5,7 @@
 
 	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvflow"
+	"balsamvane/core/bvlimit"
 )
 
 // Route decides on a caller's packet. If there are several packets, those of
@@ -112,10 +113,11 @@
 // the request was answered; it repeats data, so the upstream has not
 // acknowledged it.
 func (r *Router) learn(now time.Time, k bvflow.Key, t *target, p Packet) {
-	o, first := r.pending.answered(k)
+	o, first := r.pending.answered(p.Source.Addr(), k)
 	if first {
 		r.settle(o)
 		r.handshake.measured(now.Sub(o.at))
+		r.followedUp(now, t)
 		r.alive(now, t)
 	}
 	if q, ok := r.requests.answered(k, p); ok && q.upstream == t.entry.ID {
@@ -142,7 +144,7 @@
 			t.load.add(now, 1)
 		}
 	case repeats:
-		r.unanswered(now, t)
+		r.unanswered(now, t, false)
 	}
 }
 
@@ -179,11 +181,45 @@
 	s.usual += time.Duration(usualWeight * float64(d-s.usual))
 }
 
+// followedUp takes note that a caller has gone on with its opening. When that
+// changes how many unanswered openings show a fault, upstreams that were left
+// out for fewer are usable again.
+func (r *Router) followedUp(now time.Time, t *target) {
+	r.followUps.answered(t.unfollowed)
+	t.unfollowed = 0
+	if !r.limiter.SetSilentMin(r.followUps.least(bvlimit.SilentMin)) {
+		return
+	}
+	for _, s := range r.services {
+		s.choice.restore(func(t *target) bool { return !r.limiter.Silent(t.entry.ID) })
+	}
+}
+
 // unanswered takes note that a caller has repeated a packet because the
-// upstream did not acknowledge it.
-func (r *Router) unanswered(now time.Time, t *target) {
+// upstream did not acknowledge it. An opening may have been counted before, as
+// one that was not followed up.
+func (r *Router) unanswered(now time.Time, t *target, counted bool) {
 	t.signs.unanswered(now)
-	t.zone.unanswered(now, t.entry.ID)
+	if !counted {
+		r.suspect(now, t)
+	}
+	if r.limiter.Repeated(now, t.entry.ID) {
+		r.rest(now, t)
+	}
+}
+
+// notFollowedUp takes note that an opening stayed without a next packet of its
+// caller. That may be the caller's own doing, so it says less than a packet that
+// the caller repeats: it does not end open flows.
+func (r *Router) notFollowedUp(now time.Time, t *target) {
+	t.unfollowed++
+	r.suspect(now, t)
+}
+
+// suspect counts a packet that stayed without an answer against the upstream,
+// its zone and this balancer's own links.
+func (r *Router) suspect(now time.Time, t *target) {
+	t.zone.unanswered(now, t.entry.ID, r.followUps.least(zoneMin))
 	r.evidence.unanswered(now)
 	if r.limiter.Unanswered(now, t.entry.ID) {
 		r.rest(now, t)
@@ -223,7 +259,7 @@
 			break
 		}
 		if t := r.targets[o.upstream]; t != nil {
-			r.unanswered(now, t)
+			r.notFollowedUp(now, t)
 		}
 	}
 	for {
@@ -244,4 +280,6 @@
 
 // Isolated reports whether this balancer seems to reach no upstream, so that
 // its callers are better served by another one.
-func (r *Router) Isolated(now time.Time) bool { return r.evidence.isolated(now) }
+func (r *Router) Isolated(now time.Time) bool {
+	return r.evidence.isolated(now, r.followUps.least(isolatedMin))
+}
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -333,7 +333,9 @@
 		f.request(x, false)
 		f.open(f.caller(feeds))
 	}
-	assert.LessOrEqual(t, len(f.router.pending.openings), 64)
+	pending := &f.router.pending
+	assert.LessOrEqual(t, len(pending.known.openings), 64)
+	assert.LessOrEqual(t, len(pending.unknown.openings), 64)
 	assert.LessOrEqual(t, len(f.router.requests.open), 64)
 	open := 0
 	for _, t := range f.router.targets {
@@ -343,5 +345,6 @@
 	f.pass(10 * time.Second)
 	f.open(f.caller(feeds))
 	assert.Empty(t, f.router.requests.open)
-	assert.Len(t, f.router.pending.openings, 1)
+	assert.Len(t, pending.known.openings, 1)
+	assert.Empty(t, pending.unknown.openings)
 }
