Survive a panic; leave the store to the seeds as long as the bounds allow

One packet, answer or entry that the code is not prepared for ended the process with all that it forwards: io/bvforwarder recovered nothing. A panic at a packet now costs that packet, and the router is made anew; in a call it counts as a failure of the source; in another task it costs a pause of a second, and the catalog is listed again. TestPanics and TestSupervised; the process ended before.

A balancer that is no seed now asks the store only when its state is three quarters as old as the platform allows, by the bounds for configurations and for leaving upstreams (new settings). TestStoreAge; TestAgeBound has sources that have lost the store.

--- a/core/bvtoken/reason.go
+++ b/core/bvtoken/reason.go
@@ -21,12 +21,13 @@
 	ReasonUpstreamSilent               // The upstream does not acknowledge packets, while others do.
 	ReasonUnreadable                   // The upstream's entry cannot be read, so its address is not known.
 	ReasonMalformed                    // The packet cannot be read.
+	ReasonInternal                     // The decision failed by a fault in this program.
 	numReasons
 )
 
 var reasonNames = [numReasons]string{
 	"placed", "placedFarther", "placedAgain", "placedSilent", "token", "incomplete", "noRoute", "noUpstream",
-	"busy", "coldBudget", "unknownToken", "noToken", "upstreamGone", "upstreamSilent", "unreadable", "malformed",
+	"busy", "coldBudget", "unknownToken", "noToken", "upstreamGone", "upstreamSilent", "unreadable", "malformed", "internal",
 }
 
 // String returns the reason as a word in camel case.
@@ -63,6 +64,7 @@
 	"the upstream did not acknowledge packets while others did, and the request may be repeated",
 	"the upstream's entry could not be read, so its address was not known",
 	"the packet could not be read",
+	"the decision failed by a fault in the balancer; see the line about the panic",
 }
 
 // Explanation returns what the reason means, as the end of a sentence.
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -117,7 +117,7 @@
 	if first {
 		r.settle(o)
 		r.handshake.measured(now.Sub(o.at))
-		r.followedUp(now, t)
+		r.followedUp(t)
 		r.alive(now, t)
 	}
 	if q, ok := r.requests.answered(k, p); ok && q.upstream == t.entry.ID {
@@ -184,7 +184,7 @@
 // followedUp takes note that a caller has gone on with its opening. When that
 // changes how many unanswered openings show a fault, upstreams that were left
 // out for fewer are usable again.
-func (r *Router) followedUp(now time.Time, t *target) {
+func (r *Router) followedUp(t *target) {
 	r.followUps.answered(t.unfollowed)
 	t.unfollowed = 0
 	if !r.limiter.SetSilentMin(r.followUps.least(bvlimit.SilentMin)) {
--- a/io/bvfollower/age_test.go
+++ b/io/bvfollower/age_test.go
@@ -31,11 +31,12 @@
 	refusing
 	silent
 	redirecting // To a source that is silent.
+	fading      // Without the store, so that its state grows old.
 	moods
 )
 
 func (m mood) String() string {
-	return [...]string{"well", "slow", "old", "refusing", "silent", "redirecting"}[m]
+	return [...]string{"well", "slow", "old", "refusing", "silent", "redirecting", "fading"}[m]
 }
 
 const (
@@ -46,9 +47,15 @@
 // moodyStore is a source without changes whose mood may change at any time.
 type moodyStore struct {
 	mood  atomic.Int32
+	since atomic.Int64 // When the mood began, in Unix nanoseconds.
 	calls *atomic.Int64
 }
 
+func (s *moodyStore) set(m mood) {
+	s.since.Store(time.Now().UnixNano())
+	s.mood.Store(int32(m))
+}
+
 func (s *moodyStore) List(ctx context.Context, _ func()) (Listing, error) {
 	return s.Watch(ctx, Position{}, 0)
 }
@@ -67,7 +74,7 @@
 	case silent:
 		<-ctx.Done()
 		return Listing{}, ctx.Err()
-	case well:
+	case well, fading:
 	}
 	select {
 	case <-ctx.Done():
@@ -83,6 +90,9 @@
 		<-ctx.Done() // The answer is lost.
 		return Listing{}, ctx.Err()
 	}
+	if m == fading {
+		age = time.Duration(time.Now().UnixNano() - s.since.Load())
+	}
 	return Listing{Revision: 5, Age: age}, nil
 }
 
@@ -106,7 +116,7 @@
 			sources = append(sources, Source{Name: fmt.Sprint(i), Store: s, Direct: i == n-1})
 		}
 		gone := &moodyStore{calls: new(atomic.Int64)}
-		gone.mood.Store(int32(silent))
+		gone.set(silent)
 		ctx, cancel := context.WithTimeout(t.Context(), d)
 		defer cancel()
 		done := make(chan struct{})
@@ -159,7 +169,7 @@
 						rest /= int(moods - 1)
 					}
 					name += " " + m.String()
-					a.stores[i].mood.Store(int32(m))
+					a.stores[i].set(m)
 				}
 			})
 			assert.LessOrEqual(t, a.oldest, mostAge, "sources:%s", name)
@@ -179,7 +189,7 @@
 			for ctx.Err() == nil {
 				time.Sleep(time.Duration(r.Int64N(int64(4 * time.Second))))
 				if i := r.IntN(sources); i != healthy {
-					a.stores[i].mood.Store(r.Int32N(int32(moods)))
+					a.stores[i].set(mood(r.Int32N(int32(moods))))
 				}
 			}
 		})
@@ -195,7 +205,7 @@
 		a.follow(t, 4, 62*time.Second, func(context.Context) {
 			time.Sleep(2 * time.Second)
 			for _, s := range a.stores {
-				s.mood.Store(int32(m))
+				s.set(m)
 			}
 		})
 		const perSourceAndSecond = 1 // Delays grow to 2 s.
--- a/io/bvfollower/bvfollower_test.go
+++ b/io/bvfollower/bvfollower_test.go
@@ -94,7 +94,14 @@
 	ctx      context.Context
 }
 
-func newFixture(t *testing.T) *fixture {
+// newFixture returns a running follower that asks the store as soon as the peer
+// has failed.
+func newFixture(t *testing.T) *fixture { return newFixtureWith(t, atAnyAge) }
+
+// atAnyAge is below the age of any state.
+const atAnyAge = -time.Nanosecond
+
+func newFixtureWith(t *testing.T, storeAge time.Duration) *fixture {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	f := &fixture{
 		t: t, clock: clockwork.NewFakeClock(), peer: newFakeStore(), store: newFakeStore(),
@@ -104,7 +111,7 @@
 		f.named[a] = newFakeStore()
 	}
 	f.follower = New([]Source{{Name: "peer", Store: f.peer}, {Name: "store", Store: f.store, Direct: true}},
-		f.clock, zap.NewNop(), Options{Self: self, Peer: func(a netip.AddrPort) Source { return Source{Name: a.String(), Store: f.named[a]} }})
+		f.clock, zap.NewNop(), Options{StoreAge: storeAge, Self: self, Peer: func(a netip.AddrPort) Source { return Source{Name: a.String(), Store: f.named[a]} }})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -371,3 +378,33 @@
 	f.next(f.peer)
 	assert.Equal(t, path, f.follower.Path())
 }
+
+// TestStoreAge guards against a store that all followers of a seed ask at the
+// moment when that fails: pattern of the planned stop of a seed in a large
+// fleet.
+func TestStoreAge(t *testing.T) {
+	const storeAge = 4500 * time.Millisecond
+	f := newFixtureWith(t, storeAge)
+	f.listed(5)
+	f.next(f.peer).answer <- answer{listing: Listing{Revision: 6}}
+	<-f.events
+	confirmed := f.clock.Now()
+	peers := 0
+	for {
+		select {
+		case c := <-f.peer.calls:
+			peers++
+			c.answer <- answer{err: errors.New("refused")}
+			continue
+		case c := <-f.store.calls:
+			assert.GreaterOrEqual(t, f.clock.Since(confirmed), storeAge)
+			assert.Zero(t, c.wait, "the answer must not wait")
+			assert.GreaterOrEqual(t, peers, 4, "the peer is asked again meanwhile")
+			return
+		case <-f.ctx.Done():
+			require.Fail(t, "no call")
+		case <-time.After(5 * time.Millisecond):
+			f.clock.Advance(50 * time.Millisecond)
+		}
+	}
+}
--- a/io/bvfollower/round.go
+++ b/io/bvfollower/round.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 	"go.uber.org/zap"
 )
 
@@ -100,15 +101,23 @@
 			}
 		}
 	}
+	reserved := f.options.StoreAge - now.Sub(f.contact)
 	i, wait := f.list.Next(now, func(i int) bool {
-		return r.asks(f.sources[i]) || f.named != nil && f.named.by == i
+		return r.asks(f.sources[i]) || f.named != nil && f.named.by == i || f.isLast(i) && reserved > 0
 	})
+	if wait > 0 && reserved > 0 {
+		wait = min(wait, reserved)
+	}
 	if wait > 0 {
 		return nil, wait
 	}
-	return r.query(f.sources[i], i, len(r.out) > 0 || f.list.Doubtful(i)), 0
+	quick := len(r.out) > 0 || f.list.Doubtful(i) || now.Sub(f.contact) >= hedgeAge
+	return r.query(f.sources[i], i, quick), 0
 }
 
+// isLast reports whether an own source is the store behind other sources.
+func (f *Follower) isLast(i int) bool { return f.sources[i].Direct && i > 0 }
+
 func (r *round) asks(s Source) bool {
 	return slices.ContainsFunc(r.out, func(q *query) bool { return q.source.Store == s.Store })
 }
@@ -135,7 +144,7 @@
 	r.last, r.out = q.asked, append(r.out, q)
 	after := Position{Revision: f.revision, Age: f.clock.Since(f.contact)}
 	r.calls.Go(func() {
-		l, err := f.call(ctx, q, after)
+		l, err := recovered(func() (Listing, error) { return f.call(ctx, q, after) })
 		select {
 		case r.results <- outcome{q, l, err}:
 		case <-ctx.Done():
@@ -143,6 +152,15 @@
 	})
 }
 
+// recovered calls f and returns a panic as an error, so that an answer that
+// the decoder is not prepared for counts as a failure of its source.
+func recovered(f func() (Listing, error)) (l Listing, err error) {
+	if p := panics.Try(func() { l, err = f() }); p != nil {
+		return Listing{}, eris.Wrap(p.AsError(), "bvfollower: call panicked")
+	}
+	return l, err
+}
+
 // call makes a bounded call.
 func (f *Follower) call(ctx context.Context, q *query, after Position) (Listing, error) {
 	if q.list {
--- a/io/bvfollower/start.go
+++ b/io/bvfollower/start.go
@@ -125,8 +125,10 @@
 	s := f.sources[i]
 	backoff := bvretry.NewBackoff(firstRetry, mostRetry, f.options.Seed+uint64(i))
 	for failures := 0; ; failures++ {
-		l, err := f.bounded(ctx, f.options.ListTimeout, func(ctx context.Context) (Listing, error) {
-			return s.Store.List(ctx, func() { p.made(f.clock.Now()) })
+		l, err := recovered(func() (Listing, error) {
+			return f.bounded(ctx, f.options.ListTimeout, func(ctx context.Context) (Listing, error) {
+				return s.Store.List(ctx, func() { p.made(f.clock.Now()) })
+			})
 		})
 		if err == nil {
 			results <- found{i, l}
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -37,6 +37,7 @@
 	"balsamvane/core/bvtoken"
 	"balsamvane/io/bvadmin"
 	"balsamvane/io/bvfollower"
+	"balsamvane/io/bvlog"
 	"balsamvane/io/bvrelay"
 	"balsamvane/io/bvsettings"
 	"balsamvane/io/bvtunnel"
@@ -86,12 +87,14 @@
 	codec    Codec
 	follower *bvfollower.Follower
 
-	mu      sync.Mutex // Guards catalog and router.
+	mu      sync.Mutex // Guards catalog, router and routing.
 	catalog *bvcatalog.Catalog
 	router  *bvtoken.Router
+	routing bvtoken.Options // Of the router.
 
 	counters  *counters
 	decisions *decisionLog
+	panics    *bvlog.Budget // Of lines about panics.
 	socket    *bvtunnel.Socket
 	ready     net.Listener
 	admin     net.Listener
@@ -110,13 +113,15 @@
 	w := &Forwarder{
 		settings: s, latest: s, options: o.withDefaults(), clock: clock, log: log, metrics: m, codec: c, follower: f,
 		catalog: catalog, started: clock.Now(), complete: make(chan struct{}), changed: make(chan struct{}),
-		router: bvtoken.New(bvtoken.Options{
+		routing: bvtoken.Options{
 			Zone: s.Zone, ColdBalancers: coldBalancers(s),
 			ColdFactor: s.Limits.ColdFactor, ColdSlack: s.Limits.ColdSlack,
-		}, catalog),
+		},
 		counters:  newCounters(m.Scope),
+		panics:    bvlog.NewBudget(clock, panicLines),
 		decisions: newDecisionLog(log, clock, m.Scope),
 	}
+	w.renewRouter()
 	w.relay = bvrelay.NewServer(provider{w}, bvfanout.New(bvfanout.Options{Zone: s.Zone}), clock, bvsource.DefaultMaxAge)
 	if err := w.listen(); err != nil {
 		w.close()
@@ -171,12 +176,12 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	p := pool.New().WithContext(work).WithCancelOnError().WithFirstError()
-	p.Go(w.forward)
-	p.Go(func(ctx context.Context) error {
+	p.Go(w.supervised("packets", w.forward, func() {}))
+	p.Go(w.supervised("catalog", func(ctx context.Context) error {
 		return ignoreEnd(ctx, w.follower.Run(ctx, w.follow))
-	})
-	p.Go(w.tick)
-	p.Go(w.watchSettings)
+	}, w.follower.Relist))
+	p.Go(w.supervised("tick", w.tick, func() {}))
+	p.Go(w.supervised("settings", w.watchSettings, func() {}))
 	p.Go(func(ctx context.Context) error { return w.serveReady(ctx) })
 	p.Go(func(ctx context.Context) error { return bvadmin.New(w.metrics, w.sources()).Serve(ctx, w.admin) })
 	if w.control != nil {
--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -38,12 +38,22 @@
 const (
 	byteOpening = 'o'
 	byteReset   = 'r'
+	// Packets at which the program panics.
+	byteDecodePanic  = 'd'
+	byteForwardPanic = 'f'
 )
 
 var route = netip.MustParseAddrPort("198.51.100.1:80")
 
 func (codec) Decode(b []byte) (bvtoken.Packet, error) {
-	if len(b) != 2 || b[0] != byteOpening {
+	if len(b) != 2 {
+		return bvtoken.Packet{}, errCodec
+	}
+	switch b[0] {
+	case byteDecodePanic:
+		panic("decoding")
+	case byteOpening, byteForwardPanic:
+	default:
 		return bvtoken.Packet{}, errCodec
 	}
 	return bvtoken.Packet{Packet: bvflow.Packet{
@@ -55,6 +65,9 @@
 }
 
 func (codec) AppendForward(out, packet []byte, _ bvtoken.Decision) []byte {
+	if packet[0] == byteForwardPanic {
+		panic("forwarding")
+	}
 	return append(out, packet...)
 }
 
@@ -196,6 +209,57 @@
 	assert.Equal(t, []byte{byteOpening, 2}, f.receive(f.upstream), "a malformed packet stops nothing")
 }
 
+// TestPanics guards against a process that one packet ends, with all that it
+// forwards, and against a packet loop that stands still afterwards.
+func TestPanics(t *testing.T) {
+	f := newFixture(t, Options{})
+	f.store.set(f.listing(), nil)
+	f.eventually(func() bool { return f.readiness() == http.StatusOK })
+	w := f.forwarder
+	for i, b := range []byte{byteDecodePanic, byteForwardPanic, byteOpening} {
+		if b == byteOpening {
+			w.mu.Lock()
+			w.router = nil // It panics at the next packet.
+			w.mu.Unlock()
+		}
+		f.send(b, 1)
+		sent := time.Now()
+		f.send(byteOpening, byte(10+i))
+		assert.Equal(t, []byte{byteOpening, byte(10 + i)}, f.receive(f.upstream))
+		assert.Less(t, time.Since(sent), restartDelay, "other packets do not wait")
+	}
+	assert.Len(t, f.logs.FilterMessage("task panicked").All(), 3)
+	assert.Equal(t, http.StatusOK, f.readiness())
+}
+
+// TestSupervised guards against a task that stays away after a panic, and
+// against one that starts over and over without a pause.
+func TestSupervised(t *testing.T) {
+	f := newFixture(t, Options{})
+	clock := clockwork.NewFakeClock()
+	w := &Forwarder{clock: clock, log: f.forwarder.log, counters: f.forwarder.counters, panics: f.forwarder.panics}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	runs, resets := make(chan int), 0
+	done := make(chan error)
+	task := w.supervised("task", func(context.Context) error {
+		n := <-runs
+		if n > 0 {
+			panic(n)
+		}
+		return errCodec
+	}, func() { resets++ })
+	go func() { done <- task(ctx) }()
+	for range 3 {
+		runs <- 1
+		require.NoError(t, clock.BlockUntilContext(ctx, 1))
+		clock.Advance(restartDelay)
+	}
+	runs <- 0
+	assert.ErrorIs(t, <-done, errCodec)
+	assert.Equal(t, 3, resets)
+}
+
 // TestPlannedStop guards against packets that nobody takes because a process
 // ends before it is out of rotation.
 func TestPlannedStop(t *testing.T) {
--- a/io/bvforwarder/counters.go
+++ b/io/bvforwarder/counters.go
@@ -12,6 +12,7 @@
 type counters struct {
 	verdicts   map[bvtoken.Verdict][]tally.Counter
 	sendFailed tally.Counter
+	panics     tally.Counter
 	// seconds is the time from the end of a read to the end of the write of a
 	// batch; batch is its number of packets.
 	seconds tally.Histogram
@@ -29,6 +30,7 @@
 	c := &counters{
 		verdicts:   map[bvtoken.Verdict][]tally.Counter{},
 		sendFailed: s.Counter("sendFailed"),
+		panics:     s.Counter("panics"),
 		seconds:    s.Histogram("packetSeconds", tally.MustMakeExponentialDurationBuckets(10*time.Microsecond, 4, 9)),
 		lag:        s.Histogram("changeLagSeconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 4, 8)),
 		batch:      s.Histogram("batchPackets", tally.MustMakeExponentialValueBuckets(1, 2, 6)),
--- a/io/bvforwarder/loop.go
+++ b/io/bvforwarder/loop.go
@@ -34,23 +34,11 @@
 // packet leads to at most one other, so out never overflows.
 func (l *loop) process() {
 	w := l.forwarder
-	l.items = l.items[:0]
-	for i := range l.in.Len() {
-		raw := l.in.Packet(i)
-		p, err := w.codec.Decode(raw)
-		if err != nil {
-			w.counters.reason(bvtoken.VerdictDrop, bvtoken.ReasonMalformed)
-			continue
-		}
-		l.items = append(l.items, item{raw: raw, packet: p})
-	}
+	l.decode()
 	now := w.clock.Now()
-	w.mu.Lock()
-	l.decide(now)
-	s := state{age: w.catalog.Age(now), revision: int64(w.catalog.Revision()), version: w.catalog.Version()}
-	w.mu.Unlock()
+	s := l.decideLocked(now)
 	for i := range l.items {
-		l.execute(&l.items[i], s)
+		l.safely(func() { l.execute(&l.items[i], s) })
 	}
 	if n := w.socket.Write(l.out); n > 0 {
 		w.counters.sendFailed.Inc(int64(n))
@@ -59,19 +47,52 @@
 	w.counters.seconds.RecordDuration(w.clock.Since(now))
 }
 
+// decode decodes a batch and leaves out malformed packets.
+func (l *loop) decode() {
+	l.items = l.items[:0]
+	for i := range l.in.Len() {
+		it := item{raw: l.in.Packet(i)}
+		var err error
+		if !l.safely(func() { it.packet, err = l.forwarder.codec.Decode(it.raw) }) || err != nil {
+			l.forwarder.counters.reason(bvtoken.VerdictDrop, bvtoken.ReasonMalformed)
+			continue
+		}
+		l.items = append(l.items, it)
+	}
+}
+
+// decideLocked decides on the batch with the router locked, and returns what the
+// decisions were made from.
+func (l *loop) decideLocked(now time.Time) state {
+	w := l.forwarder
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l.decide(now)
+	return state{age: w.catalog.Age(now), revision: int64(w.catalog.Revision()), version: w.catalog.Version()}
+}
+
 // decide decides on the batch, its openings last: after a pause of this process,
-// the other packets show which upstreams have answered meanwhile.
+// the other packets show which upstreams have answered meanwhile. The caller
+// holds the forwarder's mutex.
 func (l *loop) decide(now time.Time) {
 	for _, openings := range []bool{false, true} {
 		for i := range l.items {
 			it := &l.items[i]
 			if (it.packet.Phase == bvflow.PhaseOpening) == openings {
-				it.decision = l.forwarder.router.Route(now, it.packet)
+				l.route(now, it)
 			}
 		}
 	}
 }
 
+// route decides on one packet. The caller holds the forwarder's mutex.
+func (l *loop) route(now time.Time, it *item) {
+	if !l.safely(func() { it.decision = l.forwarder.router.Route(now, it.packet) }) {
+		it.decision = bvtoken.Decision{Verdict: bvtoken.VerdictDrop, Reason: bvtoken.ReasonInternal}
+		l.forwarder.renewRouter()
+	}
+}
+
 func (l *loop) execute(it *item, s state) {
 	w, d := l.forwarder, it.decision
 	w.counters.reason(d.Verdict, d.Reason)
--- a/io/bvforwarder/reload.go
+++ b/io/bvforwarder/reload.go
@@ -66,7 +66,8 @@
 	w.latest = s
 	w.options.Reload.Apply(s)
 	w.mu.Lock()
-	w.router.SetColdBalancers(coldBalancers(s))
+	w.routing.ColdBalancers = coldBalancers(s)
+	w.router.SetColdBalancers(w.routing.ColdBalancers)
 	w.mu.Unlock()
 	s.Seeds, before.Seeds = nil, nil
 	w.log.Info("settings reloaded", zap.Bool("needsRestart", !reflect.DeepEqual(s, before)))
--- a/io/bvsettings/bvsettings.go
+++ b/io/bvsettings/bvsettings.go
@@ -109,6 +109,10 @@
 	Idle    time.Duration // A flow without packets.
 	Opening time.Duration // A TCP opening, with all its retransmissions.
 	Stop    time.Duration // A planned stop.
+	// Configuration and Drain are the times within which a balancer on the
+	// platform acts on a changed configuration and on an upstream that leaves.
+	Configuration time.Duration
+	Drain         time.Duration
 }
 
 // Default returns the settings that need not be given. Names, addresses and
@@ -127,7 +131,10 @@
 			ColdFactor:            1,
 			ColdSlack:             0,
 		},
-		Timeouts:      Timeouts{Idle: 2 * time.Hour, Opening: 65 * time.Second, Stop: 120 * time.Second},
+		Timeouts: Timeouts{
+			Idle: 2 * time.Hour, Opening: 65 * time.Second, Stop: 120 * time.Second,
+			Configuration: 3 * time.Second, Drain: 3 * time.Second,
+		},
 		LogLevel:      "info",
 		Encapsulation: EncapsulationGeneve,
 	}
--- a/io/bvsettings/fields.go
+++ b/io/bvsettings/fields.go
@@ -77,6 +77,8 @@
 	{path: "timeouts.idle", of: func(s *Settings) any { return &s.Timeouts.Idle }},
 	{path: "timeouts.opening", of: func(s *Settings) any { return &s.Timeouts.Opening }},
 	{path: "timeouts.stop", of: func(s *Settings) any { return &s.Timeouts.Stop }},
+	{path: "timeouts.configuration", of: func(s *Settings) any { return &s.Timeouts.Configuration }},
+	{path: "timeouts.drain", of: func(s *Settings) any { return &s.Timeouts.Drain }},
 	{path: "encapsulation", of: func(s *Settings) any { return &s.Encapsulation }, check: func(s *Settings) string {
 		if !slices.Contains(encapsulations, s.Encapsulation) {
 			return "encapsulation is none of " + strings.Join(encapsulations, ", ")
