--- a/cmd/balsamvane/run.go
+++ b/cmd/balsamvane/run.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"slices"
 	"syscall"
+	"time"
 
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvfanout"
@@ -108,7 +109,7 @@
 	follower := bvfollower.New(sources(s, store), clock, log, bvfollower.Options{
 		Seed:     uint64(bvconfig.NodeIDOf(s.Node)),
 		Self:     s.Listen.Control,
-		StoreAge: min(s.Timeouts.Configuration, s.Timeouts.Drain) * 3 / 4, // The rest is for the store's answer.
+		StoreAge: storeAge(s),
 		Peer:     func(a netip.AddrPort) bvfollower.Source { return peer(s, a) },
 	})
 	return bvforwarder.New(s, clock, log, metrics, platform.Codec{}, follower, bvforwarder.Options{
@@ -120,6 +121,17 @@
 	})
 }
 
+// mostStoreAge bounds the age of the state that a balancer lets pass without
+// asking the store, however much time the settings leave.
+const mostStoreAge = 4500 * time.Millisecond
+
+// storeAge returns the age of the state from which a balancer that follows
+// others asks the store. The rest of the time that the settings allow is for the
+// store's answer.
+func storeAge(s bvsettings.Settings) time.Duration {
+	return min(min(s.Timeouts.Configuration, s.Timeouts.Drain)*3/4, mostStoreAge)
+}
+
 // peer returns the balancer with a control address as a source. Seeds don't
 // say where they can be followed: another seed then takes them as followers
 // whatever it has, in place of naming balancers that may follow them.
--- a/io/bvfollower/bvfollower_test.go
+++ b/io/bvfollower/bvfollower_test.go
@@ -231,6 +231,21 @@
 	})
 }
 
+// TestOldFirstListing guards against upstreams that have left and are in use
+// again after a restart: pattern of a balancer whose first listing comes from one
+// that has long lost the store. All other sources are asked at once.
+func TestOldFirstListing(t *testing.T) {
+	f := newFixtureWith(t, time.Second)
+	f.next(f.store).answer <- answer{err: errors.New("down")}
+	f.next(f.peer).answer <- answer{listing: Listing{Revision: 3, Age: time.Minute}}
+	<-f.events
+	began := f.clock.Now()
+	c := f.next(f.store)
+	assert.LessOrEqual(t, f.clock.Since(began), 500*time.Millisecond)
+	c.answer <- answer{listing: Listing{Revision: 9}}
+	assert.Equal(t, Changed{Listing{Revision: 9}}, <-f.events)
+}
+
 // TestFirstListingInParts guards against whole listings that are asked from
 // other balancers while the store sends its own, part by part: pattern of a
 // large fleet that starts at the same moment.
