--- a/io/bvforwarder/recover.go
+++ b/io/bvforwarder/recover.go
@@ -22,7 +22,7 @@
 func (w *Forwarder) supervised(name string, f func(context.Context) error, reset func()) func(context.Context) error {
 	return func(ctx context.Context) error {
 		for {
-			err, panicked := w.attempt(ctx, name, f)
+			panicked, err := w.attempt(ctx, name, f)
 			if !panicked || ctx.Err() != nil {
 				return err
 			}
@@ -37,14 +37,14 @@
 }
 
 // attempt runs f and reports whether it has panicked.
-func (w *Forwarder) attempt(ctx context.Context, name string, f func(context.Context) error) (err error, panicked bool) {
+func (w *Forwarder) attempt(ctx context.Context, name string, f func(context.Context) error) (panicked bool, err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			w.panicked(name, p)
 			panicked = true
 		}
 	}()
-	return f(ctx), false
+	return false, f(ctx)
 }
 
 // panicked counts a panic and logs it.
--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -42,6 +42,36 @@
 // ErrChange is returned for a change that cannot be decoded.
 var ErrChange = errors.New("bvrelay: malformed change")
 
+// ErrBounds is returned for a message with a revision or counts that no balancer
+// sends.
+var ErrBounds = errors.New("bvrelay: message is out of bounds")
+
+const (
+	// maxPath bounds the balancers that a state came through. The tree of 15,000
+	// balancers is five deep.
+	maxPath = 64
+	// maxNamed bounds the balancers that an answer may name to follow instead.
+	maxNamed = 16
+	// maxZone bounds the name of a zone in bytes.
+	maxZone = 256
+)
+
+// check returns ErrBounds for an answer that no balancer gives.
+func (w *watchAnswer) check() error {
+	if w.Revision < 0 || len(w.Path) > maxPath || len(w.Others) > maxNamed {
+		return ErrBounds
+	}
+	return nil
+}
+
+// check returns ErrBounds for a request that no balancer makes.
+func (q *watchRequest) check() error {
+	if q.After < 0 || len(q.Zone) > maxZone {
+		return ErrBounds
+	}
+	return nil
+}
+
 // The wire forms of what a catalog holds. Addresses are in their binary form,
 // durations in milliseconds.
 
--- a/io/bvrelay/bvrelay_test.go
+++ b/io/bvrelay/bvrelay_test.go
@@ -269,3 +269,37 @@
 		require.Equal(t, l, again)
 	})
 }
+
+// TestListingAtDesignSize guards against a listing that a follower cannot read,
+// in a deployment of 140,000 upstreams.
+func TestListingAtDesignSize(t *testing.T) {
+	p := newFakeProvider()
+	var cs []bvcatalog.Change
+	for i := range 140_000 {
+		cs = append(cs, bvcatalog.UpstreamPut{Revision: bvcatalog.Revision(i + 1), Upstream: bvcatalog.Upstream{
+			ID: bvconfig.UpstreamID(i + 1), Service: "desk", Zone: "zone-a", Slots: 4,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8080),
+		}})
+	}
+	p.catalog.Replace(time.Unix(0, 0), 0, 140_000, cs)
+	b, err := bvcodec.New().Marshal(encode(bvfollower.Listing{Revision: 140_000, Changes: p.catalog.All(time.Unix(0, 0))}))
+	require.NoError(t, err)
+	require.Less(t, len(b), maxAnswer)
+	var a watchAnswer
+	require.NoError(t, bvcodec.New().Unmarshal(b, &a))
+	l, err := a.decode()
+	require.NoError(t, err)
+	require.Len(t, l.Changes, 140_000)
+}
+
+// TestBounds guards against messages that no balancer sends and that would be
+// believed.
+func TestBounds(t *testing.T) {
+	require.NoError(t, (&watchAnswer{Revision: 1, Path: make([][]byte, maxPath)}).check())
+	require.ErrorIs(t, (&watchAnswer{Revision: -1}).check(), ErrBounds)
+	require.ErrorIs(t, (&watchAnswer{Path: make([][]byte, maxPath+1)}).check(), ErrBounds)
+	require.ErrorIs(t, (&watchAnswer{Others: make([][]byte, maxNamed+1)}).check(), ErrBounds)
+	require.NoError(t, (&watchRequest{Zone: "zone-a"}).check())
+	require.ErrorIs(t, (&watchRequest{After: -1}).check(), ErrBounds)
+	require.ErrorIs(t, (&watchRequest{Zone: string(make([]byte, maxZone+1))}).check(), ErrBounds)
+}
--- a/io/bvrelay/client.go
+++ b/io/bvrelay/client.go
@@ -78,6 +78,9 @@
 	if err != nil {
 		return bvfollower.Listing{}, eris.Wrap(err, "bvrelay: asking a peer")
 	}
+	if err := a.Msg.check(); err != nil {
+		return bvfollower.Listing{}, err
+	}
 	if len(a.Msg.Others) > 0 {
 		return bvfollower.Listing{}, a.Msg.redirect()
 	}
--- a/io/bvrelay/server.go
+++ b/io/bvrelay/server.go
@@ -78,6 +78,9 @@
 	default:
 		return nil, connect.NewError(connect.CodeResourceExhausted, errors.New("bvrelay: too many followers"))
 	}
+	if err := r.Msg.check(); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
 	if r.Msg.List {
 		l, ok := s.provider.All()
 		if !ok {
