Keep a balancer that is cut off out of rotation until the platform is heard

Cause: a balancer that reached no upstream offered itself again after 2 s.

Change: the finding holds for up to 10 s while the platform is out of reach too. TestCutOff failed before; TestIsolated is as before.

Ruled out: health checks of upstreams meanwhile (they use slots and are counted), and a longer time in any case (an upstream's answer may be all that is missing).

--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -42,15 +42,23 @@
 	// isolatedFor is how long the finding holds without further packets, after
 	// which the balancer offers itself again.
 	isolatedFor = 2 * time.Second
+	// cutOffFor is how long it holds if the platform is out of reach as well: the
+	// balancer is cut off then, and callers that come back would only wait.
+	cutOffFor = 10 * time.Second
 )
 
 // evidence is what all upstreams together say about this balancer's own links.
 type evidence struct{ signs }
 
 // isolated reports whether this balancer seems to reach no upstream. At least
-// least packets in a row show that.
-func (e *evidence) isolated(now time.Time, least int) bool {
-	return e.missed >= least && e.last.Sub(e.first) >= isolatedAfter && now.Sub(e.last) < isolatedFor
+// least packets in a row show that. heard is true if the platform has been heard
+// of lately.
+func (e *evidence) isolated(now time.Time, least int, heard bool) bool {
+	hold := cutOffFor
+	if heard {
+		hold = isolatedFor
+	}
+	return e.missed >= least && e.last.Sub(e.first) >= isolatedAfter && now.Sub(e.last) < hold
 }
 
 const (
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -281,5 +281,5 @@
 // Isolated reports whether this balancer seems to reach no upstream, so that
 // its callers are better served by another one.
 func (r *Router) Isolated(now time.Time) bool {
-	return r.evidence.isolated(now, r.followUps.least(isolatedMin))
+	return r.evidence.isolated(now, r.followUps.least(isolatedMin), r.fresh(now))
 }
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -295,6 +295,27 @@
 	assert.False(t, f.router.Isolated(f.now), "the balancer offers itself again")
 }
 
+// TestCutOff guards against callers that come back to a balancer every other
+// second and wait there for their deadline: pattern of a zone that is cut off
+// with its balancers for several seconds.
+func TestCutOff(t *testing.T) {
+	f := newFixture(11, 12)
+	x := f.connect(feeds)
+	f.request(x, false)
+	for range 20 { // The platform is silent as well.
+		f.now = f.now.Add(200 * time.Millisecond)
+		f.request(x, true)
+	}
+	for range 5 {
+		assert.True(t, f.router.Isolated(f.now))
+		f.now = f.now.Add(time.Second)
+	}
+	f.catalog.Answered(f.now, 0)
+	assert.False(t, f.router.Isolated(f.now), "the cut has ended")
+	f.now = f.now.Add(6 * time.Second)
+	assert.False(t, f.router.Isolated(f.now), "the balancer offers itself again")
+}
+
 // TestNothingAllocated guards against garbage for each packet.
 func TestNothingAllocated(t *testing.T) {
 	f := newFixture(11, 12, 21)
