--- a/core/bvlimit/health.go
+++ b/core/bvlimit/health.go
@@ -1,8 +1,6 @@
 package bvlimit
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"balsamvane/core/bvconfig"
@@ -29,10 +27,6 @@
 	BusySlots       int
 }
 
-func sortWarm(ws []WarmState) {
-	slices.SortFunc(ws, func(a, b WarmState) int { return cmp.Compare(a.Upstream, b.Upstream) })
-}
-
 // restartRamp restarts an upstream's ramp after it was found cold. What peers say of
 // the time before does not hold any more.
 func (l *Limiter) restartRamp(x *upstream, at time.Duration) {
