io, platform: report the era of the store

Neither log nor metrics could tell a compacted history from a store that was restored from a copy, nor which balancers had listed since. No decision depends on it yet.

--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -63,7 +63,10 @@
 // Listing holds all entries, or the changes up to a revision.
 type Listing struct {
 	Revision bvcatalog.Revision
-	Changes  []bvcatalog.Change
+	// Era counts how often the store was restored from a copy; it is 0 for a
+	// store that does not report it.
+	Era     uint64
+	Changes []bvcatalog.Change
 	// Age is the time since the store confirmed that this is complete.
 	Age time.Duration
 	// Path holds the control addresses of the balancers that forwarded this, that
--- a/io/bvforwarder/counters.go
+++ b/io/bvforwarder/counters.go
@@ -22,6 +22,7 @@
 	catalogAge      tally.Gauge
 	configVersion   tally.Gauge
 	catalogRevision tally.Gauge
+	storeEra        tally.Gauge
 	// followers is the number of balancers that follow this one.
 	followers tally.Gauge
 }
@@ -37,6 +38,7 @@
 		catalogAge:      s.Gauge("catalogAgeSeconds"),
 		configVersion:   s.Gauge("configurationVersion"),
 		catalogRevision: s.Gauge("catalogRevision"),
+		storeEra:        s.Gauge("storeEra"),
 		followers:       s.Gauge("followers"),
 	}
 	for _, v := range []bvtoken.Verdict{bvtoken.VerdictDrop, bvtoken.VerdictForward, bvtoken.VerdictReset} {
@@ -57,6 +59,7 @@
 	w.counters.catalogAge.Update(w.catalog.Age(now).Seconds())
 	w.counters.configVersion.Update(float64(w.catalog.Version()))
 	w.counters.catalogRevision.Update(float64(w.catalog.Revision()))
+	w.counters.storeEra.Update(float64(w.storeEra))
 	w.counters.followers.Update(float64(w.relay.Followers()))
 }
 
--- a/io/bvforwarder/dump.go
+++ b/io/bvforwarder/dump.go
@@ -19,6 +19,7 @@
 	State             string   `json:"state"`
 	Revision          uint64   `json:"revision"` // Version of the configuration.
 	StoreRevision     int64    `json:"storeRevision"`
+	StoreEra          uint64   `json:"storeEra"`
 	PlatformAge       string   `json:"platformAge,omitempty"` // Absent before the first listing.
 	Routes            int      `json:"routes"`
 	ZonesOutOfService []string `json:"zonesOut,omitempty"`
@@ -44,7 +45,7 @@
 	defer w.mu.Unlock()
 	s := status{
 		Node: w.settings.Node, Zone: w.settings.Zone, State: "joining",
-		Revision: w.catalog.Version(), StoreRevision: int64(w.catalog.Revision()),
+		Revision: w.catalog.Version(), StoreRevision: int64(w.catalog.Revision()), StoreEra: w.storeEra,
 		Routes: w.catalog.NumRoutes(), ZonesOutOfService: w.catalog.ZonesOutOfService(),
 		Path: w.follower.Path(), Followers: w.relay.Followers(),
 	}
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -18,12 +18,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	before := w.catalog.Version()
+	w.recordEra(e)
 	switch v := e.(type) {
 	case bvfollower.Listed:
 		l := v.Listing
 		w.catalog.Replace(now, l.Age, l.Revision, l.Changes)
 		w.log.Info("catalog listed", zap.Int64("revision", int64(l.Revision)), zap.Duration("age", l.Age),
-			zap.Int("entries", len(l.Changes)))
+			zap.Int("entries", len(l.Changes)), zap.Uint64("era", l.Era), zap.Int64("catalogRevision", int64(w.catalog.Revision())))
 	case bvfollower.Changed:
 		l := v.Listing
 		w.catalog.Apply(now, l.Age, l.Revision, l.Changes)
@@ -40,6 +41,24 @@
 	}
 }
 
+// recordEra records the era of an answer, and logs a change: the store was restored
+// from a copy, or a source answers from before that. The caller holds mu.
+func (w *Forwarder) recordEra(e bvfollower.Event) {
+	var l bvfollower.Listing
+	switch v := e.(type) {
+	case bvfollower.Listed:
+		l = v.Listing
+	case bvfollower.Changed:
+		l = v.Listing
+	}
+	if l.Era != w.storeEra && w.catalog.Complete() {
+		w.log.Warn("era of the store has changed", zap.Uint64("before", w.storeEra), zap.Uint64("era", l.Era),
+			zap.Int64("revision", int64(l.Revision)), zap.Int64("catalogRevision", int64(w.catalog.Revision())),
+			zap.Stringers("path", l.Path))
+	}
+	w.storeEra = l.Era
+}
+
 // signalComplete starts the packet loop once the catalog is complete. The caller
 // holds mu.
 func (w *Forwarder) signalComplete() {
--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -96,6 +96,7 @@
 	// empty.
 	Others [][]byte `cbor:"4,keyasint,omitempty"`
 	Path   [][]byte `cbor:"5,keyasint,omitempty"`
+	Era    uint64   `cbor:"6,keyasint,omitempty"`
 }
 
 // wireChange is a change; exactly one field is set.
@@ -162,7 +163,7 @@
 }
 
 func encode(l bvfollower.Listing) *watchAnswer {
-	out := &watchAnswer{Revision: int64(l.Revision), Age: milliseconds(l.Age), Path: encodeAddresses(l.Path)}
+	out := &watchAnswer{Revision: int64(l.Revision), Era: l.Era, Age: milliseconds(l.Age), Path: encodeAddresses(l.Path)}
 	for _, c := range l.Changes {
 		out.Changes = append(out.Changes, encodeChange(c))
 	}
@@ -227,7 +228,7 @@
 	if err != nil {
 		return bvfollower.Listing{}, err
 	}
-	out := bvfollower.Listing{Revision: bvcatalog.Revision(w.Revision), Age: duration(w.Age), Path: path}
+	out := bvfollower.Listing{Revision: bvcatalog.Revision(w.Revision), Era: w.Era, Age: duration(w.Age), Path: path}
 	for _, x := range w.Changes {
 		c, err := x.decode()
 		if err != nil {
