--- a/core/bvcatalog/bvcatalog.go
+++ b/core/bvcatalog/bvcatalog.go
@@ -8,6 +8,11 @@
 // upstream stays in use for the grace period, in which a live upstream registers
 // again.
 //
+// A platform that was restored from a copy has lost its last changes, until they
+// are written again. Its first listing may be older than the catalog, and only the
+// versions of the configuration and the order in which an upstream writes its
+// entry tell which one is newer. What the listing lacks stays for the grace period.
+//
 // The package does no I/O and reads no clock.
 //
 // # Usage
@@ -28,9 +33,6 @@
 	"balsamvane/core/bvconfig"
 )
 
-// Revision orders the states of the platform's store.
-type Revision int64
-
 // Route maps an address to the services that may take its flows.
 type Route struct {
 	Name     string
@@ -69,6 +71,20 @@
 	// ColdFor is how much longer the upstream stays cold, counted from when it wrote
 	// the entry.
 	ColdFor time.Duration
+	// StartedAt and Sequence order the entries that are written under one ID: by the
+	// start of the upstream's process, then by its number of the write. StartedAt is
+	// the zero value if it is unknown.
+	StartedAt time.Time
+	Sequence  uint64
+}
+
+// writtenAfter reports whether the entry u was written after o, or may have been,
+// since the start of one of the two is unknown.
+func (u *Upstream) writtenAfter(o *Upstream) bool {
+	if u.StartedAt.IsZero() || o.StartedAt.IsZero() {
+		return true
+	}
+	return cmp.Or(u.StartedAt.Compare(o.StartedAt), cmp.Compare(u.Sequence, o.Sequence)) > 0
 }
 
 // Options configure a Catalog; zero values select the defaults.
--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -65,7 +65,10 @@
 	routes            map[netip.AddrPort]Route
 	limits            map[string]ServiceLimits
 	zonesOutOfService map[string]bool
-	entries           map[bvconfig.UpstreamID]*Entry
+	// unconfirmedZones holds the zones out of service that the listing of a restored
+	// platform lacked. They return to service after the grace period.
+	unconfirmedZones map[string]bool
+	entries          map[bvconfig.UpstreamID]*Entry
 	// inactive holds the entries that are missing or removed.
 	inactive   map[bvconfig.UpstreamID]*Entry
 	index      index
@@ -86,7 +89,7 @@
 func New(o Options) *Catalog {
 	return &Catalog{
 		options: o.withDefaults(), routes: map[netip.AddrPort]Route{}, limits: map[string]ServiceLimits{},
-		zonesOutOfService: map[string]bool{}, entries: map[bvconfig.UpstreamID]*Entry{}, inactive: map[bvconfig.UpstreamID]*Entry{},
+		zonesOutOfService: map[string]bool{}, unconfirmedZones: map[string]bool{}, entries: map[bvconfig.UpstreamID]*Entry{}, inactive: map[bvconfig.UpstreamID]*Entry{},
 		index: newIndex(), services: map[string]*Service{},
 	}
 }
@@ -174,15 +177,27 @@
 }
 
 // Replace applies a listing of all entries. Entries that it lacks are removed,
-// except for those changed after its revision.
+// except for those changed after its revision. A listing of an earlier era is
+// ignored.
 func (c *Catalog) Replace(now time.Time, age time.Duration, r Revision, cs []Change) {
+	if r.Era < c.revision.Era {
+		return
+	}
 	c.RecordAnswer(now, age)
+	restored := c.listed && r.Era > c.revision.Era
+	if restored {
+		c.graceEnd = now.Add(c.options.GracePeriod)
+	}
 	listed := make(map[bvconfig.UpstreamID]bool, len(cs))
 	zonesOut := map[string]bool{}
 	for _, ch := range cs {
 		switch v := ch.(type) {
 		case UpstreamPut:
 			listed[v.Upstream.ID] = true
+			if restored {
+				c.putFromCopy(now, v.Revision, v.Upstream)
+				continue
+			}
 		case UpstreamUnreadable:
 			listed[v.ID] = true
 		case ZoneOutOfService:
@@ -190,18 +205,15 @@
 		}
 		c.change(now, ch)
 	}
-	if r >= c.revision {
+	if !c.revision.After(r) {
 		for id, e := range c.entries {
-			if !listed[id] && !e.removed && !e.missing && e.revision <= r {
-				c.remove(now, e, r)
+			if !listed[id] && !e.removed && !e.missing && !e.revision.After(r) {
+				c.remove(now, e, r, restored)
 			}
 		}
-		if !maps.Equal(c.zonesOutOfService, zonesOut) {
-			c.markAllChanged()
-		}
-		c.zonesOutOfService = zonesOut
+		c.replaceZones(zonesOut, restored)
 	}
-	c.revision = max(c.revision, r)
+	c.revision = Latest(c.revision, r)
 	if !c.listed {
 		c.listed, c.firstGraceEnd = true, now.Add(c.options.GracePeriod)
 	}
@@ -209,25 +221,36 @@
 	c.commit()
 }
 
-// Apply applies changes in the order of their revisions, up to revision r.
+// Apply applies changes in the order of their revisions, up to revision r. Changes
+// of another era than the catalog's are ignored: the catalog needs a listing of
+// that era first.
 func (c *Catalog) Apply(now time.Time, age time.Duration, r Revision, cs []Change) {
+	if r.Era != c.revision.Era {
+		return
+	}
 	c.RecordAnswer(now, age)
 	if len(cs) == 0 {
-		c.revision = max(c.revision, r)
+		c.revision = Latest(c.revision, r)
 		return
 	}
 	for _, ch := range cs {
 		c.change(now, ch)
 	}
-	c.revision = max(c.revision, r)
+	c.revision = Latest(c.revision, r)
 	c.history.append(r, cs)
 	c.commit()
 }
 
-// Tick ends the grace period of missing entries once the platform has answered
-// after it, and discards removed upstreams that were retained long enough.
+// Tick ends the grace period of missing entries and unconfirmed zones once the
+// platform has answered after it, and discards removed upstreams that were retained
+// long enough.
 func (c *Catalog) Tick(now time.Time) {
 	graceOver := c.GracePeriodOver()
+	if graceOver {
+		for z := range c.unconfirmedZones {
+			c.setZone(z, false)
+		}
+	}
 	for id, e := range c.inactive {
 		switch {
 		case e.missing && !e.removed && graceOver:
@@ -252,8 +275,8 @@
 	case UpstreamPut:
 		c.put(now, v.Revision, v.Upstream)
 	case UpstreamRemoved:
-		if e := c.entries[v.ID]; e != nil && !e.removed && v.Revision > e.revision {
-			c.remove(now, e, v.Revision)
+		if e := c.entries[v.ID]; e != nil && !e.removed && v.Revision.After(e.revision) {
+			c.remove(now, e, v.Revision, false)
 		}
 	case UpstreamUnreadable:
 		e := c.entries[v.ID]
@@ -263,7 +286,7 @@
 			e.ID = v.ID
 			c.entries[v.ID] = e
 		}
-		if v.Revision > e.revision {
+		if v.Revision.After(e.revision) {
 			e.unreadable, e.revision = true, v.Revision
 		}
 		c.reindex(e)
@@ -272,6 +295,7 @@
 
 // setZone takes a zone out of service or puts it back into service.
 func (c *Catalog) setZone(zone string, out bool) {
+	delete(c.unconfirmedZones, zone)
 	if c.zonesOutOfService[zone] == out {
 		return
 	}
@@ -283,6 +307,20 @@
 	c.markAllChanged()
 }
 
+// replaceZones applies the zones out of service of a listing. After a restore of the
+// platform, zones that it lacks stay out of service until the end of the grace
+// period, in which the operators may write them again.
+func (c *Catalog) replaceZones(listed map[string]bool, restored bool) {
+	for z := range c.zonesOutOfService {
+		if restored && !listed[z] {
+			c.unconfirmedZones[z] = true
+		}
+		if !listed[z] && !c.unconfirmedZones[z] {
+			c.setZone(z, false)
+		}
+	}
+}
+
 // setConfiguration applies a configuration that is newer than the one in force. An
 // older one can only come from a store that answers with earlier states.
 func (c *Catalog) setConfiguration(d Configuration) {
@@ -309,7 +347,7 @@
 
 func (c *Catalog) put(now time.Time, r Revision, u Upstream) {
 	e := c.entries[u.ID]
-	if e != nil && r <= e.revision {
+	if e != nil && !r.After(e.revision) {
 		return
 	}
 	if e != nil && e.removed {
@@ -325,11 +363,32 @@
 	c.reindex(e)
 }
 
+// putFromCopy applies an entry of the first listing of an era. The listing comes
+// from a copy, so the entry may be older than the catalog's. Then the catalog keeps
+// its own state, and only takes over the revision, after which the upstream's next
+// write has a higher one. An upstream that has drained and left does not return.
+func (c *Catalog) putFromCopy(now time.Time, r Revision, u Upstream) {
+	e := c.entries[u.ID]
+	switch {
+	case e == nil || e.unreadable || u.writtenAfter(&e.Upstream):
+		c.put(now, r, u)
+	case e.removed && !(e.Draining && u.StartedAt.Equal(e.StartedAt)):
+		c.put(now, r, u)
+	default:
+		e.revision = r
+		if e.missing {
+			e.missing = false
+			c.reindex(e)
+		}
+	}
+}
+
 // remove removes an entry, or marks it as missing until the end of the grace period
-// if it may only have expired in an outage.
-func (c *Catalog) remove(now time.Time, e *Entry, r Revision) {
+// if it may only have expired in an outage, or be lost by a restore. The entry of a
+// draining upstream does not expire while it serves.
+func (c *Catalog) remove(now time.Time, e *Entry, r Revision, restored bool) {
 	e.revision = r
-	if now.Before(c.graceEnd) && !c.options.noGracePeriod && !e.Draining {
+	if now.Before(c.graceEnd) && !c.options.noGracePeriod && (!e.Draining || restored) {
 		e.missing = true
 		c.reindex(e)
 		return
--- a/core/bvcatalog/catalog_test.go
+++ b/core/bvcatalog/catalog_test.go
@@ -21,8 +21,11 @@
 	}
 }
 
-func put(r Revision, id bvconfig.UpstreamID) UpstreamPut {
-	return UpstreamPut{Revision: r, Upstream: upstream(id)}
+// rev returns a revision of era 1.
+func rev(number int64) Revision { return Revision{Era: 1, Number: number} }
+
+func put(number int64, id bvconfig.UpstreamID) UpstreamPut {
+	return UpstreamPut{Revision: rev(number), Upstream: upstream(id)}
 }
 
 func configuration(version uint64, ports ...uint16) Configuration {
@@ -39,7 +42,7 @@
 // newListed returns a catalog with a configuration and two upstreams.
 func newListed(o Options) *Catalog {
 	c := New(o)
-	c.Replace(start, 0, 10, []Change{configuration(3, 80), put(4, 1), put(5, 2)})
+	c.Replace(start, 0, rev(10), []Change{configuration(3, 80), put(4, 1), put(5, 2)})
 	return c
 }
 
@@ -57,17 +60,17 @@
 // lagging source answers.
 func TestVersionNeverReverts(t *testing.T) {
 	c := newListed(Options{})
-	c.Apply(at(time.Second), 0, 11, []Change{configuration(7, 80, 81)})
-	c.Apply(at(2*time.Second), 0, 12, []Change{configuration(5, 80)})
+	c.Apply(at(time.Second), 0, rev(11), []Change{configuration(7, 80, 81)})
+	c.Apply(at(2*time.Second), 0, rev(12), []Change{configuration(5, 80)})
 	assert.EqualValues(t, 7, c.Version())
 	assert.Equal(t, 2, c.NumRoutes())
-	c.Replace(at(3*time.Second), 0, 9, []Change{configuration(3, 80), put(4, 1)})
+	c.Replace(at(3*time.Second), 0, rev(9), []Change{configuration(3, 80), put(4, 1)})
 	assert.EqualValues(t, 7, c.Version())
 	assert.Len(t, ids(c), 2, "a listing older than the catalog removes nothing")
 
 	faulty := New(Options{acceptOlder: true})
-	faulty.Replace(start, 0, 1, []Change{configuration(7, 80, 81)})
-	faulty.Apply(start, 0, 2, []Change{configuration(5, 80)})
+	faulty.Replace(start, 0, rev(1), []Change{configuration(7, 80, 81)})
+	faulty.Apply(start, 0, rev(2), []Change{configuration(5, 80)})
 	assert.EqualValues(t, 5, faulty.Version(), "the check detects a missing safeguard")
 }
 
@@ -75,7 +78,7 @@
 // against the loss of all upstreams when their entries expire while the platform's
 // store is down.
 func TestRemoval(t *testing.T) {
-	removal := []Change{UpstreamRemoved{Revision: 12, ID: 2}}
+	removal := []Change{UpstreamRemoved{Revision: rev(12), ID: 2}}
 	tests := []struct {
 		name     string
 		options  Options
@@ -92,8 +95,8 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			for name, remove := range map[string]func(*Catalog, time.Time){
-				"by a change":  func(c *Catalog, now time.Time) { c.Apply(now, 0, 12, removal) },
-				"by a listing": func(c *Catalog, now time.Time) { c.Replace(now, 0, 12, []Change{configuration(3, 80), put(4, 1)}) },
+				"by a change":  func(c *Catalog, now time.Time) { c.Apply(now, 0, rev(12), removal) },
+				"by a listing": func(c *Catalog, now time.Time) { c.Replace(now, 0, rev(12), []Change{configuration(3, 80), put(4, 1)}) },
 			} {
 				t.Run(name, func(t *testing.T) {
 					c := newListed(tt.options)
@@ -101,7 +104,7 @@
 					remove(c, now)
 					assert.Len(t, ids(c), tt.atOnce)
 					if tt.returns {
-						c.Apply(now.Add(time.Second), 0, 13, []Change{put(13, 2)})
+						c.Apply(now.Add(time.Second), 0, rev(13), []Change{put(13, 2)})
 					}
 					c.RecordAnswer(now.Add(2*time.Second), 0)
 					c.RecordAnswer(now.Add(3*time.Second), 0)
@@ -119,8 +122,8 @@
 	c := newListed(Options{})
 	u := upstream(2)
 	u.Draining = true
-	c.Apply(at(time.Second), 0, 11, []Change{UpstreamPut{Revision: 11, Upstream: u}})
-	c.Apply(at(9*time.Second), 0, 12, []Change{UpstreamRemoved{Revision: 12, ID: 2}})
+	c.Apply(at(time.Second), 0, rev(11), []Change{UpstreamPut{Revision: rev(11), Upstream: u}})
+	c.Apply(at(9*time.Second), 0, rev(12), []Change{UpstreamRemoved{Revision: rev(12), ID: 2}})
 	assert.Equal(t, []bvconfig.UpstreamID{1}, ids(c))
 }
 
@@ -128,11 +131,11 @@
 // sources repeat changes.
 func TestOldChanges(t *testing.T) {
 	c := newListed(Options{})
-	c.Apply(at(time.Second), 0, 12, []Change{UpstreamRemoved{Revision: 12, ID: 2}})
-	c.Apply(at(time.Second), 0, 12, []Change{put(5, 2)})
+	c.Apply(at(time.Second), 0, rev(12), []Change{UpstreamRemoved{Revision: rev(12), ID: 2}})
+	c.Apply(at(time.Second), 0, rev(12), []Change{put(5, 2)})
 	assert.Equal(t, []bvconfig.UpstreamID{1}, ids(c), "an entry from before the removal")
-	c.Apply(at(time.Second), 0, 14, []Change{put(14, 2)})
-	c.Apply(at(time.Second), 0, 14, []Change{UpstreamRemoved{Revision: 12, ID: 2}})
+	c.Apply(at(time.Second), 0, rev(14), []Change{put(14, 2)})
+	c.Apply(at(time.Second), 0, rev(14), []Change{UpstreamRemoved{Revision: rev(12), ID: 2}})
 	assert.Len(t, ids(c), 2, "a removal from before the entry")
 }
 
@@ -140,9 +143,9 @@
 // corrupted, and against the loss of its upstream's flows.
 func TestUnreadableEntry(t *testing.T) {
 	c := newListed(Options{})
-	c.Apply(at(time.Second), 0, 11, []Change{
-		UpstreamUnreadable{Revision: 11, ID: 2, Problem: "state is not known"},
-		UpstreamUnreadable{Revision: 11, ID: 9, Problem: "state is not known"},
+	c.Apply(at(time.Second), 0, rev(11), []Change{
+		UpstreamUnreadable{Revision: rev(11), ID: 2, Problem: "state is not known"},
+		UpstreamUnreadable{Revision: rev(11), ID: 9, Problem: "state is not known"},
 	})
 	e := c.ByToken(TokenOf(2))
 	require.NotNil(t, e)
@@ -151,7 +154,7 @@
 	require.NotNil(t, c.ByToken(TokenOf(9)), "its upstream may be alive")
 	assert.False(t, c.ByToken(TokenOf(9)).AcceptsFlows())
 	assert.Len(t, ids(c), 2)
-	c.Apply(at(2*time.Second), 0, 12, []Change{put(12, 2)})
+	c.Apply(at(2*time.Second), 0, rev(12), []Change{put(12, 2)})
 	assert.True(t, c.ByToken(TokenOf(2)).AcceptsFlows())
 }
 
@@ -162,15 +165,15 @@
 	require.Equal(t, TokenOf(low), TokenOf(high))
 	for _, order := range [][]bvconfig.UpstreamID{{low, high}, {high, low}} {
 		c := New(Options{})
-		c.Replace(start, 0, 1, []Change{configuration(1, 80), put(1, order[0])})
-		c.Apply(start, 0, 2, []Change{put(2, order[1])})
+		c.Replace(start, 0, rev(1), []Change{configuration(1, 80), put(1, order[0])})
+		c.Apply(start, 0, rev(2), []Change{put(2, order[1])})
 		e := c.ByToken(TokenOf(low))
 		assert.Equal(t, low, e.ID)
 		assert.True(t, e.AcceptsFlows())
 		for _, e := range c.Service("tickets").Entries {
 			assert.Equal(t, e.ID == low, e.AcceptsFlows())
 		}
-		c.Apply(at(time.Second), 0, 3, []Change{UpstreamRemoved{Revision: 3, ID: low}})
+		c.Apply(at(time.Second), 0, rev(3), []Change{UpstreamRemoved{Revision: rev(3), ID: low}})
 		assert.Equal(t, high, c.ByToken(TokenOf(high)).ID, "the other owns it once the first is removed")
 	}
 	assert.NotZero(t, TokenOf(0))
@@ -181,7 +184,7 @@
 // has not received.
 func TestRemovedIsRetained(t *testing.T) {
 	c := newListed(Options{})
-	c.Apply(at(time.Second), 0, 12, []Change{UpstreamRemoved{Revision: 12, ID: 2}})
+	c.Apply(at(time.Second), 0, rev(12), []Change{UpstreamRemoved{Revision: rev(12), ID: 2}})
 	require.NotNil(t, c.ByToken(TokenOf(2)))
 	assert.True(t, c.ByToken(TokenOf(2)).Removed())
 	c.Tick(at(2 * time.Minute))
@@ -218,11 +221,11 @@
 // too early.
 func TestZones(t *testing.T) {
 	c := newListed(Options{})
-	c.Apply(start, 0, 11, []Change{ZoneOutOfService{"zone-a"}, ZoneOutOfService{"zone-b"}})
+	c.Apply(start, 0, rev(11), []Change{ZoneOutOfService{"zone-a"}, ZoneOutOfService{"zone-b"}})
 	assert.Equal(t, []string{"zone-a", "zone-b"}, c.ZonesOutOfService())
-	c.Apply(start, 0, 12, []Change{ZoneBackInService{"zone-a"}})
+	c.Apply(start, 0, rev(12), []Change{ZoneBackInService{"zone-a"}})
 	assert.False(t, c.ZoneOutOfService("zone-a"))
-	c.Replace(start, 0, 13, []Change{configuration(3, 80), ZoneOutOfService{"zone-c"}})
+	c.Replace(start, 0, rev(13), []Change{configuration(3, 80), ZoneOutOfService{"zone-c"}})
 	assert.Equal(t, []string{"zone-c"}, c.ZonesOutOfService())
 }
 
@@ -232,9 +235,9 @@
 	c := New(Options{})
 	u := upstream(1)
 	u.ColdFor = 2 * time.Second
-	entry := []Change{configuration(1, 80), UpstreamPut{Revision: 2, Upstream: u}}
-	c.Replace(start, 0, 2, entry)
-	c.Replace(at(1500*time.Millisecond), 0, 3, entry)
+	entry := []Change{configuration(1, 80), UpstreamPut{Revision: rev(2), Upstream: u}}
+	c.Replace(start, 0, rev(2), entry)
+	c.Replace(at(1500*time.Millisecond), 0, rev(3), entry)
 	assert.True(t, c.ByToken(TokenOf(1)).Cold(at(time.Second)))
 	assert.False(t, c.ByToken(TokenOf(1)).Cold(at(2*time.Second)))
 }
@@ -247,11 +250,11 @@
 	follower.Replace(start, 0, c.Revision(), c.All(start))
 	steps := [][]Change{
 		{put(11, 3), ZoneOutOfService{"zone-b"}},
-		{UpstreamRemoved{Revision: 12, ID: 1}, configuration(9, 80, 81)},
-		{UpstreamUnreadable{Revision: 13, ID: 3}, ZoneBackInService{"zone-b"}, ZoneOutOfService{"zone-c"}},
+		{UpstreamRemoved{Revision: rev(12), ID: 1}, configuration(9, 80, 81)},
+		{UpstreamUnreadable{Revision: rev(13), ID: 3}, ZoneBackInService{"zone-b"}, ZoneOutOfService{"zone-c"}},
 	}
 	for i, cs := range steps {
-		c.Apply(start, 0, Revision(11+i), cs)
+		c.Apply(start, 0, rev(int64(11+i)), cs)
 		if i == 0 {
 			continue // The follower misses an answer.
 		}
@@ -261,7 +264,7 @@
 		assert.Equal(t, c.All(start), follower.All(start))
 		assert.Equal(t, c.Revision(), follower.Revision())
 	}
-	_, ok := c.Since(3)
+	_, ok := c.Since(rev(3))
 	assert.False(t, ok, "changes from before the listing are not held")
 }
 
@@ -269,13 +272,13 @@
 func TestHistoryIsBounded(t *testing.T) {
 	c := newListed(Options{})
 	for i := range 2 * maxHistory {
-		r := Revision(11 + i)
-		c.history.append(r, []Change{put(r, 1)})
+		number := int64(11 + i)
+		c.history.append(rev(number), []Change{put(number, 1)})
 	}
 	assert.LessOrEqual(t, c.history.size, maxHistory)
-	_, ok := c.Since(11)
+	_, ok := c.Since(rev(11))
 	assert.False(t, ok)
-	cs, ok := c.Since(Revision(10 + 2*maxHistory - 5))
+	cs, ok := c.Since(rev(10 + 2*maxHistory - 5))
 	assert.True(t, ok)
 	assert.Len(t, cs, 5)
 }
@@ -286,8 +289,8 @@
 func TestContactLostInGracePeriod(t *testing.T) {
 	c := newListed(Options{})
 	recovery := 6 * time.Second
-	c.Apply(at(recovery), 0, 20, []Change{UpstreamRemoved{Revision: 12, ID: 1}, UpstreamRemoved{Revision: 13, ID: 2}})
-	c.Apply(at(recovery+time.Second), 0, 21, []Change{put(21, 2)})
+	c.Apply(at(recovery), 0, rev(20), []Change{UpstreamRemoved{Revision: rev(12), ID: 1}, UpstreamRemoved{Revision: rev(13), ID: 2}})
+	c.Apply(at(recovery+time.Second), 0, rev(21), []Change{put(21, 2)})
 	c.Tick(at(recovery + 10*time.Second))
 	assert.Equal(t, []bvconfig.UpstreamID{1, 2}, ids(c), "the platform has not answered since")
 	c.RecordAnswer(at(recovery+11*time.Second), 0)
--- a/core/bvcatalog/history.go
+++ b/core/bvcatalog/history.go
@@ -41,13 +41,13 @@
 }
 
 // Since returns the changes after a revision, in their order; ok is false if
-// they are not held.
+// they are not held, or if the revision is of another era.
 func (c *Catalog) Since(after Revision) (cs []Change, ok bool) {
-	if !c.listed || after < c.history.start {
+	if !c.listed || after.Era != c.revision.Era || c.history.start.After(after) {
 		return nil, false
 	}
 	for _, a := range c.history.batches {
-		if a.revision > after {
+		if a.revision.After(after) {
 			cs = append(cs, a.changes...)
 		}
 	}
@@ -55,7 +55,8 @@
 }
 
 // All returns the changes that lead from an empty catalog to this one, without
-// unreadable entries and entries that may have expired.
+// unreadable entries, and without entries and zones of which only the end of the
+// grace period shows whether the platform still has them.
 func (c *Catalog) All(now time.Time) []Change {
 	var cs []Change
 	if c.configured {
@@ -64,6 +65,9 @@
 		cs = append(cs, d)
 	}
 	for _, z := range c.ZonesOutOfService() {
+		if c.unconfirmedZones[z] {
+			continue
+		}
 		cs = append(cs, ZoneOutOfService{Zone: z})
 	}
 	for _, id := range sortedIDs(c.entries) {
--- a/core/bvcatalog/index_test.go
+++ b/core/bvcatalog/index_test.go
@@ -68,11 +68,12 @@
 
 // TestIndexes guards against indexes that differ from the entries after any
 // sequence of changes, and against services that have changed without a new
-// generation. Upstreams share tokens, move between services and return.
+// generation. Upstreams share tokens, move
+// between services and return, and the platform is restored from copies.
 func TestIndexes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := New(Options{})
-		now, r := start, Revision(10)
+		now, r := start, rev(10)
 		c.Replace(now, 0, r, []Change{Configuration{Version: 1, Services: []ServiceLimits{{Name: "s0"}}}})
 		id := func() bvconfig.UpstreamID {
 			n := rapid.Uint64Range(1, 3).Draw(t, "token")
@@ -80,7 +81,7 @@
 			return bvconfig.UpstreamID(k<<32 | (n ^ k)) // All k have the token n.
 		}
 		change := func() Change {
-			r++
+			r.Number++
 			switch rapid.IntRange(0, 9).Draw(t, "kind") {
 			case 0:
 				return UpstreamUnreadable{Revision: r, ID: id()}
@@ -101,12 +102,18 @@
 				u.Service = fmt.Sprint("s", rapid.IntRange(0, 2).Draw(t, "service"))
 				u.Zone = fmt.Sprint("z", rapid.IntRange(0, 1).Draw(t, "zone"))
 				u.Draining = rapid.Bool().Draw(t, "draining")
+				u.StartedAt = start.Add(time.Duration(rapid.IntRange(0, 1).Draw(t, "start")) * time.Second)
+				u.Sequence = rapid.Uint64Range(1, 3).Draw(t, "sequence")
 				return UpstreamPut{Revision: r, Upstream: u}
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"apply": func(*rapid.T) { c.Apply(now, 0, r, []Change{change()}) },
 			"list":  func(*rapid.T) { c.Replace(now, 0, r, []Change{change(), change()}) },
+			"restore": func(t *rapid.T) {
+				r = Revision{Era: r.Era + 1, Number: rapid.Int64Range(1, r.Number).Draw(t, "number")}
+				c.Replace(now, 0, r, []Change{change(), change()})
+			},
 			"pass time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
 				c.RecordAnswer(now, 0)
--- a/core/bvtoken/bench_test.go
+++ b/core/bvtoken/bench_test.go
@@ -21,7 +21,7 @@
 	var cs []bvcatalog.Change
 	for i := range n {
 		f.revision++
-		cs = append(cs, bvcatalog.UpstreamPut{Revision: f.revision, Upstream: largeUpstream(i)})
+		cs = append(cs, bvcatalog.UpstreamPut{Revision: rev(f.revision), Upstream: largeUpstream(i)})
 		if i%10 == 0 {
 			d.Services = append(d.Services, bvcatalog.ServiceLimits{Name: largeUpstream(i).Service})
 			d.Routes = append(d.Routes, bvcatalog.Route{
@@ -29,7 +29,7 @@
 			})
 		}
 	}
-	f.catalog.Replace(f.now, 0, f.revision, append([]bvcatalog.Change{d}, cs...))
+	f.catalog.Replace(f.now, 0, rev(f.revision), append([]bvcatalog.Change{d}, cs...))
 	f.advance(3 * time.Second)
 	return f
 }
@@ -67,7 +67,7 @@
 			for i := 0; b.Loop(); i++ {
 				u := largeUpstream(i % n)
 				u.Draining = i/n%2 == 0
-				f.apply(bvcatalog.UpstreamPut{Revision: f.revision + 1, Upstream: u})
+				f.apply(bvcatalog.UpstreamPut{Revision: rev(f.revision + 1), Upstream: u})
 				f.router.Route(f.now, Packet{Packet: bvflow.Packet{Tuple: x.tuple, Phase: bvflow.PhaseOpening}})
 			}
 			b.ReportMetric(float64(grown)/float64(n), "heapB/upstream")
@@ -92,9 +92,9 @@
 		if coldEvery > 0 && i/4%coldEvery == 0 {
 			u.ColdFor = time.Hour
 		}
-		cs = append(cs, bvcatalog.UpstreamPut{Revision: f.revision, Upstream: u})
+		cs = append(cs, bvcatalog.UpstreamPut{Revision: rev(f.revision), Upstream: u})
 	}
-	f.catalog.Replace(f.now, 0, f.revision, cs)
+	f.catalog.Replace(f.now, 0, rev(f.revision), cs)
 	f.advance(3 * time.Second)
 	return f
 }
--- a/core/bvtoken/fixture_test.go
+++ b/core/bvtoken/fixture_test.go
@@ -17,12 +17,15 @@
 	unrouted = netip.MustParseAddrPort("198.51.100.9:80")
 )
 
+// rev returns a revision of era 1.
+func rev(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 1, Number: number} }
+
 // fixture is a router with its catalog and a simulated clock.
 type fixture struct {
 	catalog  *bvcatalog.Catalog
 	router   *Router
 	now      time.Time
-	revision bvcatalog.Revision
+	revision int64
 	callers  uint16
 }
 
@@ -50,7 +53,7 @@
 	for _, id := range upstreams {
 		cs = append(cs, f.entry(id))
 	}
-	f.catalog.Replace(f.now, 0, f.revision, cs)
+	f.catalog.Replace(f.now, 0, rev(f.revision), cs)
 	return f
 }
 
@@ -64,24 +67,24 @@
 
 func (f *fixture) entry(id bvconfig.UpstreamID) bvcatalog.Change {
 	f.revision++
-	return bvcatalog.UpstreamPut{Revision: f.revision, Upstream: upstream(id)}
+	return bvcatalog.UpstreamPut{Revision: rev(f.revision), Upstream: upstream(id)}
 }
 
 // change replaces an upstream's entry.
 func (f *fixture) change(id bvconfig.UpstreamID, edit func(*bvcatalog.Upstream)) {
 	u := upstream(id)
 	edit(&u)
-	f.apply(bvcatalog.UpstreamPut{Revision: f.revision + 1, Upstream: u})
+	f.apply(bvcatalog.UpstreamPut{Revision: rev(f.revision + 1), Upstream: u})
 }
 
 func (f *fixture) apply(cs ...bvcatalog.Change) {
 	f.revision++
-	f.catalog.Apply(f.now, 0, f.revision, cs)
+	f.catalog.Apply(f.now, 0, rev(f.revision), cs)
 }
 
 // remove removes an upstream's entry.
 func (f *fixture) remove(id bvconfig.UpstreamID) {
-	f.apply(bvcatalog.UpstreamRemoved{Revision: f.revision + 1, ID: id})
+	f.apply(bvcatalog.UpstreamRemoved{Revision: rev(f.revision + 1), ID: id})
 }
 
 // advance advances the clock while the platform keeps answering.
--- a/core/bvtoken/pools_test.go
+++ b/core/bvtoken/pools_test.go
@@ -83,7 +83,7 @@
 	f := newServiceFixture(480, 1)
 	u := largeUpstream(479)
 	u.Service = "desk"
-	f.apply(bvcatalog.UpstreamPut{Revision: f.revision + 1, Upstream: u})
+	f.apply(bvcatalog.UpstreamPut{Revision: rev(f.revision + 1), Upstream: u})
 	for range 100 {
 		d := f.open(f.newFlow(tickets))
 		require.Equal(t, VerdictForward, d.Verdict)
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -24,7 +24,7 @@
 		},
 		"its zone is evacuated": func(f *fixture, _ bvconfig.UpstreamID) { f.apply(bvcatalog.ZoneOutOfService{Zone: "zone-a"}) },
 		"its entry is unreadable": func(f *fixture, u bvconfig.UpstreamID) {
-			f.apply(bvcatalog.UpstreamUnreadable{Revision: f.revision + 1, ID: u})
+			f.apply(bvcatalog.UpstreamUnreadable{Revision: rev(f.revision + 1), ID: u})
 		},
 		"its route goes to another service": func(f *fixture, _ bvconfig.UpstreamID) {
 			f.apply(bvcatalog.Configuration{Version: 2, Routes: []bvcatalog.Route{
@@ -56,7 +56,7 @@
 			f.change(11, func(u *bvcatalog.Upstream) { u.Zone = "zone-c" })
 			f.apply(bvcatalog.ZoneOutOfService{Zone: "zone-c"})
 		},
-		"unreadable": func(f *fixture) { f.apply(bvcatalog.UpstreamUnreadable{Revision: f.revision + 1, ID: 11}) },
+		"unreadable": func(f *fixture) { f.apply(bvcatalog.UpstreamUnreadable{Revision: rev(f.revision + 1), ID: 11}) },
 		"removed":    func(f *fixture) { f.remove(11) },
 		"of another service": func(f *fixture) {
 			f.change(11, func(u *bvcatalog.Upstream) { u.Service = "vault" })
@@ -152,7 +152,7 @@
 	assert.Equal(t, VerdictForward, f.request(added, true).Verdict)
 
 	unreadable := flowAt(33)
-	f.apply(bvcatalog.UpstreamUnreadable{Revision: f.revision + 1, ID: 33})
+	f.apply(bvcatalog.UpstreamUnreadable{Revision: rev(f.revision + 1), ID: 33})
 	for range 5 {
 		assert.Equal(t, VerdictDrop, f.request(unreadable, false).Verdict, "the upstream may be alive")
 		f.advance(time.Second)
--- a/io/bvfollower/age_test.go
+++ b/io/bvfollower/age_test.go
@@ -94,7 +94,7 @@
 	if m == isolated {
 		age = time.Duration(time.Now().UnixNano() - s.since.Load())
 	}
-	return Listing{Revision: 5, Age: age}, nil
+	return Listing{Revision: rev(5), Age: age}, nil
 }
 
 func (s *simulatedStore) Disconnect() {}
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -36,8 +36,9 @@
 	"go.uber.org/zap"
 )
 
-// ErrCompacted is returned by a watch whose start revision is no longer in the
-// source's history.
+// ErrCompacted is returned by a watch whose start revision is not in the source's
+// history: the source has discarded that part, or the store was restored from a
+// copy.
 var ErrCompacted = errors.New("bvfollower: history is no longer available")
 
 // Redirect is returned by a watch of a source that has enough followers. Others
@@ -53,6 +54,10 @@
 // recently.
 var errStale = errors.New("state of the source is stale")
 
+// errEarlierEra is the failure of a source that does not know yet that the store was
+// restored from a copy.
+var errEarlierEra = errors.New("state of the source is from before the store was restored")
+
 // errCycle is the failure of a source that follows this balancer itself.
 var errCycle = errors.New("source follows this balancer")
 
@@ -63,10 +68,7 @@
 // Listing holds all entries, or the changes up to a revision.
 type Listing struct {
 	Revision bvcatalog.Revision
-	// Era counts how often the store was restored from a copy; it is 0 for a
-	// store that does not report it.
-	Era     uint64
-	Changes []bvcatalog.Change
+	Changes  []bvcatalog.Change
 	// Age is the time since the store confirmed that this is complete.
 	Age time.Duration
 	// Path holds the control addresses of the balancers that forwarded this, that
@@ -268,12 +270,12 @@
 func (f *Follower) disconnect(s Source, err error) {
 	s.Store.Disconnect()
 	f.log.Warn("source does not answer", zap.String("source", s.Name), zap.String("error", err.Error()),
-		zap.Int64("revision", int64(f.revision)))
+		zap.Int64("revision", f.revision.Number), zap.Uint64("era", f.revision.Era))
 }
 
 func (f *Follower) setCurrentSource(s Source) {
 	if f.currentSource != s.Name {
-		f.log.Info("following source", zap.String("source", s.Name), zap.Int64("revision", int64(f.revision)))
+		f.log.Info("following source", zap.String("source", s.Name), zap.Int64("revision", f.revision.Number), zap.Uint64("era", f.revision.Era))
 		f.currentSource = s.Name
 	}
 }
--- a/io/bvfollower/bvfollower_test.go
+++ b/io/bvfollower/bvfollower_test.go
@@ -16,6 +16,9 @@
 	"go.uber.org/zap"
 )
 
+// rev returns a revision of era 1.
+func rev(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 1, Number: number} }
+
 // call is one call of a fake store; the test sends the result to answer.
 type call struct {
 	list   bool
@@ -135,11 +138,11 @@
 	}
 }
 
-func (f *fixture) answerFirstListing(revision bvcatalog.Revision) {
+func (f *fixture) answerFirstListing(number int64) {
 	c := f.nextCall(f.store)
 	require.True(f.t, c.list)
-	c.answer <- answer{listing: Listing{Revision: revision}}
-	require.Equal(f.t, Listed{Listing{Revision: revision}}, <-f.events)
+	c.answer <- answer{listing: Listing{Revision: rev(number)}}
+	require.Equal(f.t, Listed{Listing{Revision: rev(number)}}, <-f.events)
 }
 
 // TestFollowsChanges guards against changes that are lost or requested twice.
@@ -148,16 +151,16 @@
 	f.answerFirstListing(5)
 	changes := []bvcatalog.Change{bvcatalog.ZoneOutOfService{Zone: "zone-a"}}
 	c := f.nextCall(f.peer)
-	assert.EqualValues(t, 5, c.after)
-	c.answer <- answer{listing: Listing{Revision: 8, Changes: changes}}
-	assert.Equal(t, Changed{Listing{Revision: 8, Changes: changes}}, <-f.events)
+	assert.Equal(t, rev(5), c.after)
+	c.answer <- answer{listing: Listing{Revision: rev(8), Changes: changes}}
+	assert.Equal(t, Changed{Listing{Revision: rev(8), Changes: changes}}, <-f.events)
 	c = f.nextCall(f.peer)
-	assert.EqualValues(t, 8, c.after)
+	assert.Equal(t, rev(8), c.after)
 	assert.GreaterOrEqual(t, c.age, 300*time.Millisecond, "the age of the last answer includes the pause")
 	assert.Less(t, c.wait, defaultWait, "pause and wait together are as long as the default wait")
-	c.answer <- answer{listing: Listing{Revision: 7}}
+	c.answer <- answer{listing: Listing{Revision: rev(7)}}
 	<-f.events
-	assert.EqualValues(t, 8, f.nextCall(f.peer).after, "a lagging source does not lower the revision")
+	assert.Equal(t, rev(8), f.nextCall(f.peer).after, "a lagging source does not lower the revision")
 }
 
 // TestLeavesFailedSource guards against a follower that stays with a source that
@@ -165,7 +168,7 @@
 func TestLeavesFailedSource(t *testing.T) {
 	tests := map[string]func(c call){
 		"refuses":         func(c call) { c.answer <- answer{err: errors.New("refused")} },
-		"is stale":        func(c call) { c.answer <- answer{listing: Listing{Revision: 5, Age: 3 * time.Second}} },
+		"is stale":        func(c call) { c.answer <- answer{listing: Listing{Revision: rev(5), Age: 3 * time.Second}} },
 		"does not answer": func(call) {},
 	}
 	for name, fail := range tests {
@@ -175,16 +178,66 @@
 			fail(f.nextCall(f.peer))
 			c := f.nextCall(f.store)
 			assert.False(t, c.list, "it resumes from its own revision")
-			assert.EqualValues(t, 5, c.after)
-			c.answer <- answer{listing: Listing{Revision: 6}}
+			assert.Equal(t, rev(5), c.after)
+			c.answer <- answer{listing: Listing{Revision: rev(6)}}
 			c = f.nextCall(f.peer)
 			assert.Equal(t, 1, f.peer.disconnects(), "the failed connection is closed")
 			assert.Zero(t, c.wait, "the call to a source that has failed requests an immediate answer")
-			assert.EqualValues(t, 6, c.after)
+			assert.Equal(t, rev(6), c.after)
+		})
+	}
+}
+
+// era2 returns a revision after a restore of the store.
+func era2(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 2, Number: number} }
+
+// TestRestoredStore guards against a follower that goes on from a revision of the lost
+// history after the store was restored from a copy, whether the source answers with
+// changes or without, and against a loop of listings when the new revision is lower.
+func TestRestoredStore(t *testing.T) {
+	for name, a := range map[string]answer{
+		"history ends":   {err: ErrCompacted},
+		"no changes":     {listing: Listing{Revision: era2(5)}},
+		"changes":        {listing: Listing{Revision: era2(6), Changes: []bvcatalog.Change{bvcatalog.ZoneOutOfService{Zone: "zone-a"}}}},
+		"lower revision": {listing: Listing{Revision: era2(2)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.answerFirstListing(5)
+			f.nextCall(f.peer).answer <- a
+			c := f.nextCall(f.peer)
+			require.True(t, c.list)
+			c.answer <- answer{listing: Listing{Revision: era2(4)}}
+			require.Equal(t, Listed{Listing{Revision: era2(4)}}, <-f.events, "no other event")
+			c = f.nextCall(f.peer)
+			require.False(t, c.list)
+			require.Equal(t, era2(4), c.after)
+			assert.Zero(t, f.peer.disconnects(), "the source has not failed")
 		})
 	}
 }
 
+// TestEarlierEra guards against a follower that returns to the lost history, or takes
+// its state for recent, since a source does not know of the restore yet.
+func TestEarlierEra(t *testing.T) {
+	f := newFixture(t)
+	f.answerFirstListing(5)
+	f.nextCall(f.peer).answer <- answer{err: ErrCompacted}
+	f.nextCall(f.peer).answer <- answer{listing: Listing{Revision: era2(4)}}
+	require.Equal(t, Listed{Listing{Revision: era2(4)}}, <-f.events)
+	f.nextCall(f.peer).answer <- answer{listing: Listing{Revision: rev(9)}}
+	c := f.nextCall(f.store)
+	assert.Equal(t, era2(4), c.after)
+	c.answer <- answer{err: ErrCompacted}
+	c = f.nextCall(f.peer)
+	assert.True(t, c.list)
+	c.answer <- answer{listing: Listing{Revision: rev(10)}}
+	c = f.nextCall(f.store)
+	assert.True(t, c.list, "a listing of the lost history is refused too")
+	c.answer <- answer{listing: Listing{Revision: era2(7)}}
+	require.Equal(t, Listed{Listing{Revision: era2(7)}}, <-f.events)
+}
+
 // TestCompacted guards against a follower that misses the changes that the
 // source has compacted.
 func TestCompacted(t *testing.T) {
@@ -193,15 +246,15 @@
 	f.nextCall(f.peer).answer <- answer{err: ErrCompacted}
 	c := f.nextCall(f.peer)
 	assert.True(t, c.list)
-	c.answer <- answer{listing: Listing{Revision: 90}}
-	assert.Equal(t, Listed{Listing{Revision: 90}}, <-f.events)
+	c.answer <- answer{listing: Listing{Revision: rev(90)}}
+	assert.Equal(t, Listed{Listing{Revision: rev(90)}}, <-f.events)
 }
 
 // TestFirstListing guards against a start that waits for seeds that are still
 // down, or for a store that is down or unresponsive. The balancer serves nothing
 // until it has a listing.
 func TestFirstListing(t *testing.T) {
-	stale := Listing{Revision: 3, Age: time.Minute}
+	stale := Listing{Revision: rev(3), Age: time.Minute}
 	tests := map[string]struct {
 		fail  func(f *fixture)
 		limit time.Duration // Maximum time until a seed is called, with the clock steps of the fixture.
@@ -219,7 +272,7 @@
 			assert.LessOrEqual(t, f.clock.Since(failed), tt.limit)
 			c.answer <- answer{listing: stale}
 			assert.Equal(t, Listed{stale}, <-f.events, "a stale state is better than none")
-			assert.EqualValues(t, 3, f.nextCall(f.peer).after)
+			assert.Equal(t, rev(3), f.nextCall(f.peer).after)
 		})
 	}
 	t.Run("seeds are unresponsive", func(t *testing.T) {
@@ -227,7 +280,7 @@
 		f.nextCall(f.store).answer <- answer{err: errors.New("down")}
 		f.nextCall(f.peer)
 		f.answerFirstListing(5)
-		assert.EqualValues(t, 5, f.nextCall(f.peer).after)
+		assert.Equal(t, rev(5), f.nextCall(f.peer).after)
 	})
 }
 
@@ -237,13 +290,13 @@
 func TestStaleFirstListing(t *testing.T) {
 	f := newFixtureWith(t, time.Second)
 	f.nextCall(f.store).answer <- answer{err: errors.New("down")}
-	f.nextCall(f.peer).answer <- answer{listing: Listing{Revision: 3, Age: time.Minute}}
+	f.nextCall(f.peer).answer <- answer{listing: Listing{Revision: rev(3), Age: time.Minute}}
 	<-f.events
 	listedAt := f.clock.Now()
 	c := f.nextCall(f.store)
 	assert.LessOrEqual(t, f.clock.Since(listedAt), 500*time.Millisecond)
-	c.answer <- answer{listing: Listing{Revision: 9}}
-	assert.Equal(t, Changed{Listing{Revision: 9}}, <-f.events)
+	c.answer <- answer{listing: Listing{Revision: rev(9)}}
+	assert.Equal(t, Changed{Listing{Revision: rev(9)}}, <-f.events)
 }
 
 // TestFirstListingInParts guards against listings that are requested from other
@@ -313,8 +366,8 @@
 	f.follower.SetSources([]Source{{Name: "other", Store: other}, {Name: "store", Store: newFakeStore(), Direct: true}})
 	c := f.nextCall(other)
 	assert.True(t, c.list)
-	c.answer <- answer{listing: Listing{Revision: 7}}
-	assert.Equal(t, Listed{Listing{Revision: 7}}, <-f.events)
+	c.answer <- answer{listing: Listing{Revision: rev(7)}}
+	assert.Equal(t, Listed{Listing{Revision: rev(7)}}, <-f.events)
 }
 
 // TestSetSources guards against new seeds that are not used.
@@ -324,8 +377,8 @@
 	other := newFakeStore()
 	c := f.nextCall(f.peer) // The call in progress continues.
 	f.follower.SetSources([]Source{{Name: "other", Store: other}, {Name: "store", Store: f.store, Direct: true}})
-	c.answer <- answer{listing: Listing{Revision: 6}}
-	assert.EqualValues(t, 6, f.nextCall(other).after)
+	c.answer <- answer{listing: Listing{Revision: rev(6)}}
+	assert.Equal(t, rev(6), f.nextCall(other).after)
 }
 
 // TestRedirect guards against a follower that does not follow a redirect, stays
@@ -335,24 +388,24 @@
 	f.answerFirstListing(5)
 	f.nextCall(f.peer).answer <- answer{err: &Redirect{Others: []netip.AddrPort{firstTarget, secondTarget}}}
 	first, second := f.targets[firstTarget], f.targets[secondTarget]
-	f.nextCall(first).answer <- answer{listing: Listing{Revision: 5}}
+	f.nextCall(first).answer <- answer{listing: Listing{Revision: rev(5)}}
 	<-f.events
 	assert.Equal(t, 1, f.peer.disconnects(), "the connection to the redirecting source is closed")
-	for revision := bvcatalog.Revision(5); revision < 8; revision++ {
+	for number := int64(5); number < 8; number++ {
 		c := f.nextCall(first)
-		assert.Equal(t, revision, c.after)
-		c.answer <- answer{listing: Listing{Revision: revision + 1}}
+		assert.Equal(t, rev(number), c.after)
+		c.answer <- answer{listing: Listing{Revision: rev(number + 1)}}
 		<-f.events
 	}
-	f.nextCall(first).answer <- answer{listing: Listing{Revision: 8, Age: 3 * time.Second}}
+	f.nextCall(first).answer <- answer{listing: Listing{Revision: rev(8), Age: 3 * time.Second}}
 	c := f.nextCall(second)
-	assert.EqualValues(t, 8, c.after, "the state of the first target is stale")
+	assert.Equal(t, rev(8), c.after, "the state of the first target is stale")
 	assert.Equal(t, 1, first.disconnects(), "its connection is closed")
 	c.answer <- answer{err: errors.New("refused")}
 	c = f.nextCall(f.store)
-	assert.EqualValues(t, 8, c.after, "all targets have failed, so the redirecting source counts as failed")
-	c.answer <- answer{listing: Listing{Revision: 9}}
-	assert.EqualValues(t, 9, f.nextCall(f.peer).after, "it returns to the own sources")
+	assert.Equal(t, rev(8), c.after, "all targets have failed, so the redirecting source counts as failed")
+	c.answer <- answer{listing: Listing{Revision: rev(9)}}
+	assert.Equal(t, rev(9), f.nextCall(f.peer).after, "it returns to the own sources")
 }
 
 // TestRedirectsAreBounded guards against a follower that is redirected from one
@@ -364,7 +417,7 @@
 		require.Less(t, n, 20)
 		select {
 		case c := <-f.store.calls:
-			assert.EqualValues(t, 5, c.after)
+			assert.Equal(t, rev(5), c.after)
 			return
 		case c := <-at.calls:
 			c.answer <- answer{err: &Redirect{Others: []netip.AddrPort{firstTarget}}}
@@ -382,12 +435,12 @@
 	f := newFixture(t)
 	f.answerFirstListing(5)
 	intermediate := netip.MustParseAddrPort("192.0.2.9:6082")
-	f.nextCall(f.peer).answer <- answer{listing: Listing{Revision: 5, Path: []netip.AddrPort{intermediate, self, firstTarget}}}
-	f.nextCall(f.store).answer <- answer{listing: Listing{Revision: 6}}
+	f.nextCall(f.peer).answer <- answer{listing: Listing{Revision: rev(5), Path: []netip.AddrPort{intermediate, self, firstTarget}}}
+	f.nextCall(f.store).answer <- answer{listing: Listing{Revision: rev(6)}}
 	<-f.events
 	assert.Empty(t, f.follower.Path(), "the source is the store")
 	path := []netip.AddrPort{intermediate, firstTarget}
-	f.nextCall(f.peer).answer <- answer{listing: Listing{Revision: 7, Path: path}}
+	f.nextCall(f.peer).answer <- answer{listing: Listing{Revision: rev(7), Path: path}}
 	<-f.events
 	f.nextCall(f.peer)
 	assert.Equal(t, path, f.follower.Path())
@@ -399,7 +452,7 @@
 	const storeAge = 4500 * time.Millisecond
 	f := newFixtureWith(t, storeAge)
 	f.answerFirstListing(5)
-	f.nextCall(f.peer).answer <- answer{listing: Listing{Revision: 6}}
+	f.nextCall(f.peer).answer <- answer{listing: Listing{Revision: rev(6)}}
 	<-f.events
 	confirmed := f.clock.Now()
 	peers := 0
--- a/io/bvfollower/round.go
+++ b/io/bvfollower/round.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"balsamvane/core/bvcatalog"
+
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
@@ -181,15 +183,15 @@
 func (f *Follower) handleOutcome(o outcome) bool {
 	err := o.err
 	if err == nil {
-		err = f.check(o.listing)
+		err = f.check(o)
 	}
 	var redirect *Redirect
 	switch {
 	case err == nil:
 		return true
 	case errors.Is(err, ErrCompacted):
-		f.log.Info("source has compacted the history since the last answer; listing again",
-			zap.String("source", o.query.source.Name), zap.Int64("revision", int64(f.revision)))
+		f.log.Info("source does not have the history since the last answer; listing again",
+			zap.String("source", o.query.source.Name), zap.Int64("revision", f.revision.Number), zap.Uint64("era", f.revision.Era))
 		f.listed = false
 	case errors.As(err, &redirect):
 		f.followRedirect(o.query, redirect)
@@ -199,10 +201,16 @@
 	return false
 }
 
-// check returns an error if an answer cannot be used: it is too old, or it was
-// forwarded by this balancer.
-func (f *Follower) check(l Listing) error {
+// check returns an error if an answer cannot be used: it is too old, it was
+// forwarded by this balancer, or it is of another era than the state that it
+// changes.
+func (f *Follower) check(o outcome) error {
+	l := o.listing
 	switch {
+	case l.Revision.Era < f.revision.Era:
+		return eris.Wrapf(errEarlierEra, "bvfollower: revision %s", l.Revision)
+	case l.Revision.Era > f.revision.Era && !o.query.list:
+		return ErrCompacted
 	case !f.list.Recent(l.Age):
 		return eris.Wrapf(errStale, "bvfollower: age %s", l.Age)
 	case slices.Contains(l.Path, f.options.Self):
@@ -241,11 +249,11 @@
 	f.setCurrentSource(q.source)
 	f.recordConfirmation(l)
 	if q.list {
-		f.listed, f.revision = true, max(f.revision, l.Revision)
+		f.listed, f.revision = true, bvcatalog.Latest(f.revision, l.Revision)
 		sink(Listed{Listing: l})
 		return 0
 	}
-	f.revision = max(f.revision, l.Revision)
+	f.revision = bvcatalog.Latest(f.revision, l.Revision)
 	sink(Changed{Listing: l})
 	return len(l.Changes)
 }
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -88,9 +88,8 @@
 	codec    Codec
 	follower *bvfollower.Follower
 
-	mu            sync.Mutex // Guards catalog, storeEra, router and routerOptions.
+	mu            sync.Mutex // Guards catalog, router and routerOptions.
 	catalog       *bvcatalog.Catalog
-	storeEra      uint64 // Era of the last answer.
 	router        *bvtoken.Router
 	routerOptions bvtoken.Options // Kept to create a new router after a panic.
 
--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -78,6 +78,9 @@
 
 var loopback = netip.MustParseAddr("127.0.0.1")
 
+// rev returns a revision of era 1.
+func rev(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 1, Number: number} }
+
 // fakeStore answers listings with the result that the test has set.
 type fakeStore struct {
 	mu      sync.Mutex
@@ -158,11 +161,11 @@
 
 // listing describes the upstream of the fixture.
 func (f *fixture) listing() bvfollower.Listing {
-	return bvfollower.Listing{Revision: 5, Changes: []bvcatalog.Change{
+	return bvfollower.Listing{Revision: rev(5), Changes: []bvcatalog.Change{
 		bvcatalog.Configuration{Version: 3, Routes: []bvcatalog.Route{{
 			Address: route, Backends: []bvcatalog.Backend{{Service: "desk", Weight: 1}},
 		}}},
-		bvcatalog.UpstreamPut{Revision: 4, Upstream: bvcatalog.Upstream{
+		bvcatalog.UpstreamPut{Revision: rev(4), Upstream: bvcatalog.Upstream{
 			ID: 7, Address: f.upstream.LocalAddr().(*net.UDPAddr).AddrPort(), Service: "desk", Zone: "zone-a",
 			// More than the tests open: nothing answers here, and a balancer that has
 			// just started places no more flows on an upstream than it has slots.
@@ -321,9 +324,9 @@
 	c := bvrelay.NewClient(portOf(f.forwarder.control), bvfanout.Follower{})
 	f.eventually(func() bool {
 		l, err := c.List(context.Background(), func() {})
-		return err == nil && len(l.Changes) == 2 && l.Revision == 5
+		return err == nil && len(l.Changes) == 2 && l.Revision == rev(5)
 	})
-	l, err := c.Watch(context.Background(), bvfollower.Position{Revision: 5}, 0)
+	l, err := c.Watch(context.Background(), bvfollower.Position{Revision: rev(5)}, 0)
 	require.NoError(t, err)
 	assert.Less(t, l.Age, 10*time.Second)
 }
--- a/io/bvforwarder/counters.go
+++ b/io/bvforwarder/counters.go
@@ -58,8 +58,8 @@
 func (w *Forwarder) updateGauges(now time.Time) {
 	w.counters.catalogAge.Update(w.catalog.Age(now).Seconds())
 	w.counters.configVersion.Update(float64(w.catalog.Version()))
-	w.counters.catalogRevision.Update(float64(w.catalog.Revision()))
-	w.counters.storeEra.Update(float64(w.storeEra))
+	w.counters.catalogRevision.Update(float64(w.catalog.Revision().Number))
+	w.counters.storeEra.Update(float64(w.catalog.Revision().Era))
 	w.counters.followers.Update(float64(w.relay.Followers()))
 }
 
--- a/io/bvforwarder/decisionlog.go
+++ b/io/bvforwarder/decisionlog.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvflow"
 	"balsamvane/core/bvtoken"
 	"balsamvane/io/bvlog"
@@ -47,7 +48,7 @@
 // catalogState describes the catalog that a batch was routed with.
 type catalogState struct {
 	age      time.Duration
-	revision int64
+	revision bvcatalog.Revision
 	version  uint64
 }
 
@@ -67,7 +68,7 @@
 		zap.Bool("opening", opening), zap.Uint32("copy", p.Retransmissions), zap.Uint32("callerToken", uint32(p.Token)),
 		zap.Stringer("verdict", d.Verdict), zap.Stringer("reason", d.Reason),
 		zap.Uint32("token", uint32(d.Token)), zap.Uint64("upstream", uint64(d.Upstream)), address,
-		zap.Duration("catalogAge", s.age), zap.Int64("revision", s.revision), zap.Uint64("version", s.version))
+		zap.Duration("catalogAge", s.age), zap.Int64("revision", s.revision.Number), zap.Uint64("era", s.revision.Era), zap.Uint64("version", s.version))
 }
 
 // reportSuppressed logs the numbers of suppressed lines, once per interval.
--- a/io/bvforwarder/dump.go
+++ b/io/bvforwarder/dump.go
@@ -45,7 +45,7 @@
 	defer w.mu.Unlock()
 	s := status{
 		Node: w.settings.Node, Zone: w.settings.Zone, State: "joining",
-		Revision: w.catalog.Version(), StoreRevision: int64(w.catalog.Revision()), StoreEra: w.storeEra,
+		Revision: w.catalog.Version(), StoreRevision: w.catalog.Revision().Number, StoreEra: w.catalog.Revision().Era,
 		Routes: w.catalog.NumRoutes(), ZonesOutOfService: w.catalog.ZonesOutOfService(),
 		Path: w.follower.Path(), Followers: w.relay.Followers(),
 	}
--- a/io/bvforwarder/provider.go
+++ b/io/bvforwarder/provider.go
@@ -34,7 +34,7 @@
 func (p provider) listing(now time.Time, cs []bvcatalog.Change) bvfollower.Listing {
 	w := p.forwarder
 	return bvfollower.Listing{
-		Revision: w.catalog.Revision(), Era: w.storeEra, Age: w.catalog.Age(now), Changes: cs,
+		Revision: w.catalog.Revision(), Age: w.catalog.Age(now), Changes: cs,
 		Path: append(slices.Clone(w.follower.Path()), w.settings.Listen.Control),
 	}
 }
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -17,14 +17,14 @@
 	now := w.clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	before := w.catalog.Version()
-	w.recordEra(e)
+	before, revision, complete := w.catalog.Version(), w.catalog.Revision(), w.catalog.Complete()
 	switch v := e.(type) {
 	case bvfollower.Listed:
 		l := v.Listing
 		w.catalog.Replace(now, l.Age, l.Revision, l.Changes)
-		w.log.Info("catalog listed", zap.Int64("revision", int64(l.Revision)), zap.Duration("age", l.Age),
-			zap.Int("entries", len(l.Changes)), zap.Uint64("era", l.Era), zap.Int64("catalogRevision", int64(w.catalog.Revision())))
+		w.log.Info("catalog listed", zap.Int64("revision", l.Revision.Number), zap.Uint64("era", l.Revision.Era),
+			zap.Duration("age", l.Age), zap.Int("entries", len(l.Changes)), zap.Int64("catalogRevision", w.catalog.Revision().Number))
+		w.logRestore(revision, complete)
 	case bvfollower.Changed:
 		l := v.Listing
 		w.catalog.Apply(now, l.Age, l.Revision, l.Changes)
@@ -41,22 +41,15 @@
 	}
 }
 
-// recordEra records the era of an answer, and logs a change: the store was restored
-// from a copy, or a source answers from before that. The caller holds mu.
-func (w *Forwarder) recordEra(e bvfollower.Event) {
-	var l bvfollower.Listing
-	switch v := e.(type) {
-	case bvfollower.Listed:
-		l = v.Listing
-	case bvfollower.Changed:
-		l = v.Listing
-	}
-	if l.Era != w.storeEra && w.catalog.Complete() {
-		w.log.Warn("era of the store has changed", zap.Uint64("before", w.storeEra), zap.Uint64("era", l.Era),
-			zap.Int64("revision", int64(l.Revision)), zap.Int64("catalogRevision", int64(w.catalog.Revision())),
-			zap.Stringers("path", l.Path))
+// logRestore logs that the store was restored from a copy, if the revision of the
+// catalog shows it. The caller holds mu.
+func (w *Forwarder) logRestore(before bvcatalog.Revision, wasComplete bool) {
+	after := w.catalog.Revision()
+	if wasComplete && after.Era != before.Era {
+		w.log.Warn("store was restored from a copy", zap.Int64("revisionBefore", before.Number), zap.Uint64("eraBefore", before.Era),
+			zap.Int64("revision", after.Number), zap.Uint64("era", after.Era), zap.Stringers("path", w.follower.Path()), zap.Uint64("version", w.catalog.Version()),
+			zap.Strings("zonesOut", w.catalog.ZonesOutOfService()))
 	}
-	w.storeEra = l.Era
 }
 
 // signalComplete starts the packet loop once the catalog is complete. The caller
@@ -73,7 +66,7 @@
 
 func (w *Forwarder) logChanges(l bvfollower.Listing) {
 	for _, c := range l.Changes {
-		at := zap.Int64("revision", int64(l.Revision))
+		at := zap.Int64("revision", l.Revision.Number)
 		switch v := c.(type) {
 		case bvcatalog.ZoneOutOfService:
 			w.log.Info("zone taken out of service", zap.String("zone", v.Zone), at)
--- a/io/bvrelay/bench_test.go
+++ b/io/bvrelay/bench_test.go
@@ -46,11 +46,11 @@
 // BenchmarkWatch measures the cost of a watch at client and server together: with
 // an answer without changes, and with one changed upstream.
 func BenchmarkWatch(b *testing.B) {
-	for name, after := range map[string]bvcatalog.Revision{"noChange": 8, "oneChange": 7} {
+	for name, after := range map[string]bvcatalog.Revision{"noChange": rev(8), "oneChange": rev(7)} {
 		b.Run(name, func(b *testing.B) {
 			p := newFakeProvider()
-			p.catalog.Replace(time.Unix(0, 0), 0, 7, allChanges[:1])
-			p.catalog.Apply(time.Unix(0, 0), 0, 8, allChanges[3:4])
+			p.catalog.Replace(time.Unix(0, 0), 0, rev(7), allChanges[:1])
+			p.catalog.Apply(time.Unix(0, 0), 0, rev(8), allChanges[3:4])
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(b, err)
 			metered := &meteredListener{Listener: l}
--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -26,7 +26,9 @@
 )
 
 const (
-	procedureWatch = "/balsamvane.relay.v1.Relay/Watch"
+	// procedureWatch has the version of the messages. A balancer of version 1 knows no
+	// eras, so it must not be followed.
+	procedureWatch = "/balsamvane.relay.v2.Relay/Watch"
 	// maxRequestBytes and maxAnswerBytes limit the size of a message. A listing of
 	// 140,000 upstreams takes 8 MB.
 	maxRequestBytes = 4 << 10
@@ -86,6 +88,7 @@
 	// follower cannot be followed itself.
 	Address []byte `cbor:"5,keyasint,omitempty"`
 	Zone    string `cbor:"6,keyasint,omitempty"`
+	Era     uint64 `cbor:"7,keyasint,omitempty"` // Era of After.
 }
 
 type watchAnswer struct {
@@ -96,7 +99,7 @@
 	// empty.
 	Others [][]byte `cbor:"4,keyasint,omitempty"`
 	Path   [][]byte `cbor:"5,keyasint,omitempty"`
-	Era    uint64   `cbor:"6,keyasint,omitempty"`
+	Era    uint64   `cbor:"6,keyasint,omitempty"` // Era of all revisions in the answer.
 }
 
 // wireChange is a change; exactly one field is set.
@@ -147,6 +150,9 @@
 	Slots    uint32
 	Draining bool
 	ColdFor  uint64
+	// StartedAt is in Unix milliseconds; 0 if it is unknown.
+	StartedAt int64
+	Sequence  uint64
 }
 
 type wireRemoved struct {
@@ -163,9 +169,10 @@
 }
 
 func encode(l bvfollower.Listing) *watchAnswer {
-	out := &watchAnswer{Revision: int64(l.Revision), Era: l.Era, Age: milliseconds(l.Age), Path: encodeAddresses(l.Path)}
+	era := l.Revision.Era
+	out := &watchAnswer{Revision: l.Revision.Number, Era: era, Age: milliseconds(l.Age), Path: encodeAddresses(l.Path)}
 	for _, c := range l.Changes {
-		out.Changes = append(out.Changes, encodeChange(c))
+		out.Changes = append(out.Changes, encodeChange(c, era))
 	}
 	return out
 }
@@ -184,7 +191,17 @@
 	return &bvfollower.Redirect{Others: others}
 }
 
-func encodeChange(c bvcatalog.Change) wireChange {
+// number returns the number of a revision in an answer of the given era. For a
+// revision of an earlier era it is 0, which is before all revisions of the era.
+func number(r bvcatalog.Revision, era uint64) int64 {
+	if r.Era != era {
+		return 0
+	}
+	return r.Number
+}
+
+// encodeChange returns the wire form of a change in an answer of the given era.
+func encodeChange(c bvcatalog.Change, era uint64) wireChange {
 	switch v := c.(type) {
 	case bvcatalog.Configuration:
 		return wireChange{Configuration: encodeConfiguration(v)}
@@ -195,13 +212,14 @@
 	case bvcatalog.UpstreamPut:
 		u := v.Upstream
 		return wireChange{Upstream: &wireUpstream{
-			Revision: int64(v.Revision), ID: uint64(u.ID), Address: encodeAddress(u.Address), Service: u.Service,
+			Revision: number(v.Revision, era), ID: uint64(u.ID), Address: encodeAddress(u.Address), Service: u.Service,
 			Zone: u.Zone, Slots: u.Slots, Draining: u.Draining, ColdFor: milliseconds(u.ColdFor),
+			StartedAt: unixMilliseconds(u.StartedAt), Sequence: u.Sequence,
 		}}
 	case bvcatalog.UpstreamRemoved:
-		return wireChange{Removed: &wireRemoved{Revision: int64(v.Revision), ID: uint64(v.ID)}}
+		return wireChange{Removed: &wireRemoved{Revision: number(v.Revision, era), ID: uint64(v.ID)}}
 	case bvcatalog.UpstreamUnreadable:
-		return wireChange{Unreadable: &wireUnreadable{Revision: int64(v.Revision), ID: uint64(v.ID), Problem: v.Problem}}
+		return wireChange{Unreadable: &wireUnreadable{Revision: number(v.Revision, era), ID: uint64(v.ID), Problem: v.Problem}}
 	}
 	return wireChange{}
 }
@@ -228,9 +246,9 @@
 	if err != nil {
 		return bvfollower.Listing{}, err
 	}
-	out := bvfollower.Listing{Revision: bvcatalog.Revision(w.Revision), Era: w.Era, Age: duration(w.Age), Path: path}
+	out := bvfollower.Listing{Revision: bvcatalog.Revision{Era: w.Era, Number: w.Revision}, Age: duration(w.Age), Path: path}
 	for _, x := range w.Changes {
-		c, err := x.decode()
+		c, err := x.decode(w.Era)
 		if err != nil {
 			return bvfollower.Listing{}, err
 		}
@@ -239,7 +257,8 @@
 	return out, nil
 }
 
-func (x wireChange) decode() (bvcatalog.Change, error) {
+// decode returns a change of an answer of the given era.
+func (x wireChange) decode(era uint64) (bvcatalog.Change, error) {
 	switch {
 	case x.Configuration != nil:
 		return x.Configuration.decode()
@@ -248,12 +267,15 @@
 	case x.ZoneBackInService != "":
 		return bvcatalog.ZoneBackInService{Zone: x.ZoneBackInService}, nil
 	case x.Upstream != nil:
-		return x.Upstream.decode()
+		return x.Upstream.decode(era)
 	case x.Removed != nil:
-		return bvcatalog.UpstreamRemoved{Revision: bvcatalog.Revision(x.Removed.Revision), ID: bvconfig.UpstreamID(x.Removed.ID)}, nil
+		return bvcatalog.UpstreamRemoved{
+			Revision: bvcatalog.Revision{Era: era, Number: x.Removed.Revision}, ID: bvconfig.UpstreamID(x.Removed.ID),
+		}, nil
 	case x.Unreadable != nil:
 		return bvcatalog.UpstreamUnreadable{
-			Revision: bvcatalog.Revision(x.Unreadable.Revision), ID: bvconfig.UpstreamID(x.Unreadable.ID), Problem: x.Unreadable.Problem,
+			Revision: bvcatalog.Revision{Era: era, Number: x.Unreadable.Revision}, ID: bvconfig.UpstreamID(x.Unreadable.ID),
+			Problem: x.Unreadable.Problem,
 		}, nil
 	}
 	return nil, ErrMalformedChange
@@ -283,14 +305,14 @@
 	return d, nil
 }
 
-func (w *wireUpstream) decode() (bvcatalog.Change, error) {
+func (w *wireUpstream) decode(era uint64) (bvcatalog.Change, error) {
 	a, err := decodeAddress(w.Address)
 	if err != nil {
 		return nil, err
 	}
-	return bvcatalog.UpstreamPut{Revision: bvcatalog.Revision(w.Revision), Upstream: bvcatalog.Upstream{
+	return bvcatalog.UpstreamPut{Revision: bvcatalog.Revision{Era: era, Number: w.Revision}, Upstream: bvcatalog.Upstream{
 		ID: bvconfig.UpstreamID(w.ID), Address: a, Service: w.Service, Zone: w.Zone, Slots: w.Slots,
-		Draining: w.Draining, ColdFor: duration(w.ColdFor),
+		Draining: w.Draining, ColdFor: duration(w.ColdFor), StartedAt: startTime(w.StartedAt), Sequence: w.Sequence,
 	}}, nil
 }
 
@@ -328,6 +350,23 @@
 	return a, nil
 }
 
+// unixMilliseconds returns a start time in Unix milliseconds, or 0 if it is unknown.
+func unixMilliseconds(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// startTime returns the start time for n Unix milliseconds, or the zero value if n
+// is 0.
+func startTime(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(n).UTC()
+}
+
 func milliseconds(d time.Duration) uint64 { return uint64(max(d, 0).Milliseconds()) }
 
 // duration returns n milliseconds, limited to an hour.
--- a/io/bvrelay/bvrelay_test.go
+++ b/io/bvrelay/bvrelay_test.go
@@ -59,6 +59,9 @@
 	p.changed = make(chan struct{})
 }
 
+// rev returns a revision of era 1.
+func rev(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 1, Number: number} }
+
 var allChanges = []bvcatalog.Change{
 	bvcatalog.Configuration{
 		Version: 4,
@@ -70,19 +73,20 @@
 	},
 	bvcatalog.ZoneOutOfService{Zone: "zone-a"},
 	bvcatalog.ZoneBackInService{Zone: "zone-b"},
-	bvcatalog.UpstreamPut{Revision: 3, Upstream: bvcatalog.Upstream{
+	bvcatalog.UpstreamPut{Revision: rev(3), Upstream: bvcatalog.Upstream{
 		ID: 1 << 63, Address: netip.MustParseAddrPort("[2001:db8::1]:8080"), Service: "desk", Zone: "zone-a", Slots: 4,
 		Draining: true, ColdFor: 1500 * time.Millisecond,
+		StartedAt: time.UnixMilli(1_790_000_000_123).UTC(), Sequence: 9,
 	}},
-	bvcatalog.UpstreamRemoved{Revision: 5, ID: 9},
-	bvcatalog.UpstreamUnreadable{Revision: 6, ID: 10, Problem: "state is not known"},
+	bvcatalog.UpstreamRemoved{Revision: rev(5), ID: 9},
+	bvcatalog.UpstreamUnreadable{Revision: rev(6), ID: 10, Problem: "state is not known"},
 }
 
 // TestCodec guards against listings that differ after encoding and decoding.
 func TestCodec(t *testing.T) {
 	c := bvcodec.New()
 	l := bvfollower.Listing{
-		Revision: 7, Age: 1200 * time.Millisecond, Changes: allChanges,
+		Revision: rev(7), Age: 1200 * time.Millisecond, Changes: allChanges,
 		Path: []netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:6082"), netip.MustParseAddrPort("[2001:db8::2]:6082")},
 	}
 	b, err := c.Marshal(encode(l))
@@ -139,13 +143,13 @@
 	c := startClient(t, p, clockwork.NewRealClock())
 	_, err := c.List(ctx, func() {})
 	require.Error(t, err, "the catalog is not complete yet")
-	p.update(func(c *bvcatalog.Catalog) { c.Replace(time.Unix(0, 0), 0, 7, allChanges[:1]) })
+	p.update(func(c *bvcatalog.Catalog) { c.Replace(time.Unix(0, 0), 0, rev(7), allChanges[:1]) })
 	l, err := c.List(ctx, func() {})
 	require.NoError(t, err)
-	assert.EqualValues(t, 7, l.Revision)
+	assert.Equal(t, rev(7), l.Revision)
 	assert.Equal(t, allChanges[:1], l.Changes)
 
-	l, err = c.Watch(ctx, bvfollower.Position{Revision: 7}, 0)
+	l, err = c.Watch(ctx, bvfollower.Position{Revision: rev(7)}, 0)
 	require.NoError(t, err)
 	assert.Empty(t, l.Changes)
 	type result struct {
@@ -154,19 +158,65 @@
 	}
 	waiting := make(chan result, 1)
 	go func() {
-		l, err := c.Watch(ctx, bvfollower.Position{Revision: 7}, 10*time.Second)
+		l, err := c.Watch(ctx, bvfollower.Position{Revision: rev(7)}, 10*time.Second)
 		waiting <- result{l, err}
 	}()
-	p.update(func(c *bvcatalog.Catalog) { c.Apply(time.Unix(0, 0), 0, 9, allChanges[1:2]) })
+	p.update(func(c *bvcatalog.Catalog) { c.Apply(time.Unix(0, 0), 0, rev(9), allChanges[1:2]) })
 	r := <-waiting
 	require.NoError(t, r.err)
 	assert.Equal(t, allChanges[1:2], r.listing.Changes)
-	assert.EqualValues(t, 9, r.listing.Revision)
+	assert.Equal(t, rev(9), r.listing.Revision)
 
-	_, err = c.Watch(ctx, bvfollower.Position{Revision: 2}, 0)
+	_, err = c.Watch(ctx, bvfollower.Position{Revision: rev(2)}, 0)
 	assert.ErrorIs(t, err, bvfollower.ErrCompacted)
 }
 
+// TestRestoredStore guards against a follower that is told that nothing has changed
+// since a revision of the lost history, or that waits at a balancer which does not
+// know of the restore yet.
+func TestRestoredStore(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	p := newFakeProvider()
+	p.catalog.Replace(time.Unix(0, 0), 0, rev(7), allChanges[:1])
+	c := startClient(t, p, clockwork.NewRealClock())
+	waiting := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, err := c.Watch(ctx, bvfollower.Position{Revision: rev(7)}, 10*time.Second)
+			waiting <- err
+		}()
+	}
+	second := func(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 2, Number: number} }
+	_, err := startClient(t, p, clockwork.NewFakeClock()).Watch(ctx, bvfollower.Position{Revision: second(3)}, 10*time.Second)
+	require.Error(t, err, "the follower is ahead, and must not wait")
+	require.NotErrorIs(t, err, bvfollower.ErrCompacted, "it would list the state of this balancer")
+	p.update(func(c *bvcatalog.Catalog) { c.Replace(time.Unix(0, 0), 0, second(3), allChanges[:1]) })
+	require.ErrorIs(t, <-waiting, bvfollower.ErrCompacted)
+	require.ErrorIs(t, <-waiting, bvfollower.ErrCompacted)
+	for _, after := range []int64{2, 3, 9} {
+		_, err := c.Watch(ctx, bvfollower.Position{Revision: rev(after)}, 0)
+		require.ErrorIs(t, err, bvfollower.ErrCompacted, "after revision %d", after)
+	}
+	l, err := c.List(ctx, func() {})
+	require.NoError(t, err)
+	assert.Equal(t, second(3), l.Revision)
+	l, err = c.Watch(ctx, bvfollower.Position{Revision: second(3)}, 0)
+	require.NoError(t, err)
+	assert.Equal(t, bvfollower.Listing{Revision: second(3)}, l)
+}
+
+// TestEarlierRevision guards against an entry whose revision of an earlier era looks
+// like one of the answer's era, so that the follower skips its next changes.
+func TestEarlierRevision(t *testing.T) {
+	put := allChanges[3].(bvcatalog.UpstreamPut)
+	put.Revision = rev(90)
+	revision := bvcatalog.Revision{Era: 2, Number: 3}
+	l, err := encode(bvfollower.Listing{Revision: revision, Changes: []bvcatalog.Change{put}}).decode()
+	require.NoError(t, err)
+	assert.False(t, l.Changes[0].(bvcatalog.UpstreamPut).Revision.After(revision))
+}
+
 // TestLargeListing guards against a listing that is truncated or cannot be decoded
 // because it is compressed.
 func TestLargeListing(t *testing.T) {
@@ -176,10 +226,10 @@
 	cs := slices.Clone(allChanges[:1])
 	for i := range 3000 {
 		u := allChanges[3].(bvcatalog.UpstreamPut)
-		u.Revision, u.Upstream.ID = bvcatalog.Revision(i+1), bvconfig.UpstreamID(i+1)
+		u.Revision, u.Upstream.ID = rev(int64(i+1)), bvconfig.UpstreamID(i+1)
 		cs = append(cs, u)
 	}
-	p.catalog.Replace(time.Unix(0, 0), 0, 3001, cs)
+	p.catalog.Replace(time.Unix(0, 0), 0, rev(3001), cs)
 	l, err := startClient(t, p, clockwork.NewRealClock()).List(ctx, func() {})
 	require.NoError(t, err)
 	assert.Equal(t, p.catalog.All(time.Unix(0, 0)), l.Changes)
@@ -191,10 +241,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	p := newFakeProvider()
-	p.catalog.Replace(time.Unix(0, 0), 0, 7, allChanges[:1])
+	p.catalog.Replace(time.Unix(0, 0), 0, rev(7), allChanges[:1])
 	p.age = 5 * time.Second
 	// The fake clock does not advance, so only the age can end the wait.
-	l, err := startClient(t, p, clockwork.NewFakeClock()).Watch(ctx, bvfollower.Position{Revision: 7}, 10*time.Second)
+	l, err := startClient(t, p, clockwork.NewFakeClock()).Watch(ctx, bvfollower.Position{Revision: rev(7)}, 10*time.Second)
 	require.NoError(t, err)
 	assert.Equal(t, 5*time.Second, l.Age)
 }
@@ -205,19 +255,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	p := newFakeProvider()
-	p.catalog.Replace(time.Unix(0, 0), 0, 7, allChanges[:1])
+	p.catalog.Replace(time.Unix(0, 0), 0, rev(7), allChanges[:1])
 	p.age = time.Second
 	// The fake clock does not advance, so only a more recent state can end the
 	// wait.
 	c := startClient(t, p, clockwork.NewFakeClock())
-	l, err := c.Watch(ctx, bvfollower.Position{Revision: 7, Age: 2 * time.Second}, 10*time.Second)
+	l, err := c.Watch(ctx, bvfollower.Position{Revision: rev(7), Age: 2 * time.Second}, 10*time.Second)
 	require.NoError(t, err)
 	assert.Equal(t, time.Second, l.Age, "the state is more recent when the watch starts")
 	go func() {
 		time.Sleep(20 * time.Millisecond)
 		p.update(func(*bvcatalog.Catalog) { p.age = 0 })
 	}()
-	l, err = c.Watch(ctx, bvfollower.Position{Revision: 7, Age: time.Second}, 10*time.Second)
+	l, err = c.Watch(ctx, bvfollower.Position{Revision: rev(7), Age: time.Second}, 10*time.Second)
 	require.NoError(t, err)
 	assert.Zero(t, l.Age, "the state is confirmed while the watch waits")
 }
@@ -228,13 +278,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	p := newFakeProvider()
-	p.catalog.Replace(time.Unix(0, 0), 0, 7, allChanges[:1])
+	p.catalog.Replace(time.Unix(0, 0), 0, rev(7), allChanges[:1])
 	server := startServer(t, p, clockwork.NewRealClock(), bvfanout.Options{Zone: "a", MaxPerOtherZone: 1})
 	client := func(address string) *Client {
 		return NewClient(server, bvfanout.Follower{Address: netip.MustParseAddrPort(address), Zone: "b"})
 	}
 	first, second := client("192.0.2.1:6082"), client("192.0.2.2:6082")
-	position := bvfollower.Position{Revision: 7}
+	position := bvfollower.Position{Revision: rev(7)}
 	_, err := first.Watch(ctx, position, 0)
 	require.NoError(t, err)
 	_, err = second.Watch(ctx, position, 0)
@@ -252,7 +302,7 @@
 // FuzzAnswer guards against panics on any bytes that a peer sends.
 func FuzzAnswer(f *testing.F) {
 	c := bvcodec.New()
-	b, err := c.Marshal(encode(bvfollower.Listing{Revision: 7, Changes: allChanges}))
+	b, err := c.Marshal(encode(bvfollower.Listing{Revision: rev(7), Changes: allChanges}))
 	require.NoError(f, err)
 	f.Add(b)
 	f.Add(b[:len(b)/2])
@@ -279,13 +329,14 @@
 	p := newFakeProvider()
 	var cs []bvcatalog.Change
 	for i := range 140_000 {
-		cs = append(cs, bvcatalog.UpstreamPut{Revision: bvcatalog.Revision(i + 1), Upstream: bvcatalog.Upstream{
+		cs = append(cs, bvcatalog.UpstreamPut{Revision: rev(int64(i + 1)), Upstream: bvcatalog.Upstream{
 			ID: bvconfig.UpstreamID(i + 1), Service: "desk", Zone: "zone-a", Slots: 4,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8080),
+			Address:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8080),
+			StartedAt: time.UnixMilli(1_790_000_000_000 + int64(i)), Sequence: uint64(i),
 		}})
 	}
-	p.catalog.Replace(time.Unix(0, 0), 0, 140_000, cs)
-	b, err := bvcodec.New().Marshal(encode(bvfollower.Listing{Revision: 140_000, Changes: p.catalog.All(time.Unix(0, 0))}))
+	p.catalog.Replace(time.Unix(0, 0), 0, rev(140_000), cs)
+	b, err := bvcodec.New().Marshal(encode(bvfollower.Listing{Revision: rev(140_000), Changes: p.catalog.All(time.Unix(0, 0))}))
 	require.NoError(t, err)
 	require.Less(t, len(b), maxAnswerBytes)
 	var a watchAnswer
--- a/io/bvrelay/client.go
+++ b/io/bvrelay/client.go
@@ -60,7 +60,7 @@
 // Watch waits for changes after a revision, at most for wait.
 func (c *Client) Watch(ctx context.Context, after bvfollower.Position, wait time.Duration) (bvfollower.Listing, error) {
 	q := &watchRequest{
-		After: int64(after.Revision), Wait: uint32(wait.Milliseconds()), Age: milliseconds(after.Age), Zone: c.self.Zone,
+		After: after.Revision.Number, Era: after.Revision.Era, Wait: uint32(wait.Milliseconds()), Age: milliseconds(after.Age), Zone: c.self.Zone,
 	}
 	if c.self.Address.IsValid() {
 		q.Address = encodeAddress(c.self.Address)
--- a/io/bvrelay/server.go
+++ b/io/bvrelay/server.go
@@ -23,13 +23,17 @@
 // a listing accept compression.
 const minCompressBytes = 4 << 10
 
+// errEarlierEra is the answer to a follower which knows, other than this balancer,
+// that the store was restored from a copy.
+var errEarlierEra = errors.New("bvrelay: the state is from before the store was restored")
+
 // Provider provides the catalog that followers receive. Its methods are called
 // concurrently.
 type Provider interface {
 	// All returns all entries; ok is false until the catalog is complete.
 	All() (l bvfollower.Listing, ok bool)
-	// Since returns the changes after a revision; ok is false if the history no
-	// longer holds them.
+	// Since returns the changes after a revision; ok is false if the history does
+	// not hold them.
 	Since(after bvcatalog.Revision) (l bvfollower.Listing, ok bool)
 	// Changed returns a channel that is closed at the next answer of the
 	// provider's own source, with or without changes.
@@ -98,7 +102,10 @@
 		return connect.NewResponse(encodeRedirect(others)), nil
 	}
 	l, ok := s.waitForChanges(ctx, r.Msg)
-	if !ok {
+	switch {
+	case l.Revision.Era < r.Msg.Era:
+		return nil, connect.NewError(connect.CodeUnavailable, errEarlierEra)
+	case !ok:
 		return nil, connect.NewError(connect.CodeOutOfRange, bvfollower.ErrCompacted)
 	}
 	return connect.NewResponse(encode(l)), nil
@@ -125,7 +132,7 @@
 // or when the store has confirmed it more recently than the follower's. The last
 // case keeps the follower's state hardly older than this balancer's.
 func (s *Server) waitForChanges(ctx context.Context, q *watchRequest) (bvfollower.Listing, bool) {
-	after := bvcatalog.Revision(q.After)
+	after := bvcatalog.Revision{Era: q.Era, Number: q.After}
 	end := s.clock.After(min(time.Duration(q.Wait)*time.Millisecond, maxWait))
 	followerAge, started := duration(q.Age), s.clock.Now()
 	for {
