core/bvcatalog: ignore the zones of a listing older than the catalog

Callers: a zone that was back in service got no new flows from one balancer until it was taken out again.

Cause: a listing from a balancer that lags behind removed nothing, but took its zones out of service all the same, since zones have no revision of their own. A follower lists from such a balancer when the source before it has compacted the history.

Evidence: TestZoneInOlderListing failed with [zone-a] and passes.

--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -202,6 +202,7 @@
 			listed[v.ID] = true
 		case ZoneOutOfService:
 			zonesOut[v.Zone] = true
+			continue // Zones have no revisions of their own.
 		}
 		c.change(now, ch)
 	}
@@ -319,6 +320,9 @@
 			c.setZone(z, false)
 		}
 	}
+	for z := range listed {
+		c.setZone(z, true)
+	}
 }
 
 // setConfiguration applies a configuration that is newer than the one in force. An
--- a/core/bvcatalog/catalog_test.go
+++ b/core/bvcatalog/catalog_test.go
@@ -229,6 +229,17 @@
 	assert.Equal(t, []string{"zone-c"}, c.ZonesOutOfService())
 }
 
+// TestZoneInOlderListing guards against a zone that stays out of service since a
+// balancer which lags behind has listed it: it is back in service, and no change will
+// say so again.
+func TestZoneInOlderListing(t *testing.T) {
+	c := newListed(Options{})
+	c.Apply(at(time.Second), 0, rev(11), []Change{ZoneOutOfService{"zone-a"}})
+	c.Apply(at(2*time.Second), 0, rev(12), []Change{ZoneBackInService{"zone-a"}})
+	c.Replace(at(3*time.Second), 0, rev(11), []Change{configuration(3, 80), put(4, 1), put(5, 2), ZoneOutOfService{"zone-a"}})
+	assert.Empty(t, c.ZonesOutOfService())
+}
+
 // TestCold guards against a cold period that restarts whenever a listing repeats an
 // entry.
 func TestCold(t *testing.T) {
