--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvrevision"
 )
 
 // Token identifies an upstream in the header of a flow's packets. Both ends of
@@ -28,9 +29,9 @@
 	// ColdUntil is when the upstream stops being cold.
 	ColdUntil time.Time
 
-	revision   Revision // Revision of the entry's last change or removal.
-	missing    bool     // The entry was removed, but may only have expired.
-	removed    bool     // The entry was removed for good.
+	revision   bvrevision.Revision // Revision of the entry's last change or removal.
+	missing    bool                // The entry was removed, but may only have expired.
+	removed    bool                // The entry was removed for good.
 	removedAt  time.Time
 	unreadable bool   // The entry cannot be decoded or is invalid.
 	shadowed   bool   // A lower ID has the same token.
@@ -73,7 +74,7 @@
 	inactive   map[bvconfig.UpstreamID]*Entry
 	index      index
 	services   map[string]*Service
-	revision   Revision
+	revision   bvrevision.Revision
 	listed     bool      // A listing has been received.
 	lastAnswer time.Time // Last answer of the platform.
 	graceEnd   time.Time // End of the grace period after the last outage.
@@ -102,7 +103,7 @@
 func (c *Catalog) Version() uint64 { return c.version }
 
 // Revision returns the revision up to which the catalog is complete.
-func (c *Catalog) Revision() Revision { return c.revision }
+func (c *Catalog) Revision() bvrevision.Revision { return c.revision }
 
 // Generation returns a number that grows with each change of the catalog's
 // content.
@@ -179,7 +180,7 @@
 // Replace applies a listing of all entries. Entries that it lacks are removed,
 // except for those changed after its revision. A listing of an earlier era is
 // ignored.
-func (c *Catalog) Replace(now time.Time, age time.Duration, r Revision, cs []Change) {
+func (c *Catalog) Replace(now time.Time, age time.Duration, r bvrevision.Revision, cs []Change) {
 	if r.Era < c.revision.Era {
 		return
 	}
@@ -214,7 +215,7 @@
 		}
 		c.replaceZones(zonesOut, restored)
 	}
-	c.revision = Latest(c.revision, r)
+	c.revision = bvrevision.Latest(c.revision, r)
 	if !c.listed {
 		c.listed, c.firstGraceEnd = true, now.Add(c.options.GracePeriod)
 	}
@@ -225,19 +226,19 @@
 // Apply applies changes in the order of their revisions, up to revision r. Changes
 // of another era than the catalog's are ignored: the catalog needs a listing of
 // that era first.
-func (c *Catalog) Apply(now time.Time, age time.Duration, r Revision, cs []Change) {
+func (c *Catalog) Apply(now time.Time, age time.Duration, r bvrevision.Revision, cs []Change) {
 	if r.Era != c.revision.Era {
 		return
 	}
 	c.RecordAnswer(now, age)
 	if len(cs) == 0 {
-		c.revision = Latest(c.revision, r)
+		c.revision = bvrevision.Latest(c.revision, r)
 		return
 	}
 	for _, ch := range cs {
 		c.change(now, ch)
 	}
-	c.revision = Latest(c.revision, r)
+	c.revision = bvrevision.Latest(c.revision, r)
 	c.history.append(r, cs)
 	c.commit()
 }
@@ -349,7 +350,7 @@
 	}
 }
 
-func (c *Catalog) put(now time.Time, r Revision, u Upstream) {
+func (c *Catalog) put(now time.Time, r bvrevision.Revision, u Upstream) {
 	e := c.entries[u.ID]
 	if e != nil && !r.After(e.revision) {
 		return
@@ -371,7 +372,7 @@
 // from a copy, so the entry may be older than the catalog's. Then the catalog keeps
 // its own state, and only takes over the revision, after which the upstream's next
 // write has a higher one. An upstream that has drained and left does not return.
-func (c *Catalog) putFromCopy(now time.Time, r Revision, u Upstream) {
+func (c *Catalog) putFromCopy(now time.Time, r bvrevision.Revision, u Upstream) {
 	e := c.entries[u.ID]
 	switch {
 	case e == nil || e.unreadable || u.writtenAfter(&e.Upstream):
@@ -390,7 +391,7 @@
 // remove removes an entry, or marks it as missing until the end of the grace period
 // if it may only have expired in an outage, or be lost by a restore. The entry of a
 // draining upstream does not expire while it serves.
-func (c *Catalog) remove(now time.Time, e *Entry, r Revision, restored bool) {
+func (c *Catalog) remove(now time.Time, e *Entry, r bvrevision.Revision, restored bool) {
 	e.revision = r
 	if now.Before(c.graceEnd) && !c.options.noGracePeriod && (!e.Draining || restored) {
 		e.missing = true
--- a/core/bvcatalog/catalog_test.go
+++ b/core/bvcatalog/catalog_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvrevision"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -22,7 +23,7 @@
 }
 
 // rev returns a revision of era 1.
-func rev(number int64) Revision { return Revision{Era: 1, Number: number} }
+func rev(number int64) bvrevision.Revision { return bvrevision.Revision{Era: 1, Number: number} }
 
 func put(number int64, id bvconfig.UpstreamID) UpstreamPut {
 	return UpstreamPut{Revision: rev(number), Upstream: upstream(id)}
--- a/core/bvcatalog/change.go
+++ b/core/bvcatalog/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvrevision"
 )
 
 // Change is one entry of the platform or its removal. Only this package
@@ -25,20 +26,20 @@
 // UpstreamPut is a new or changed entry of an upstream. Revision is that of
 // the entry's last change.
 type UpstreamPut struct {
-	Revision Revision
+	Revision bvrevision.Revision
 	Upstream Upstream
 }
 
 // UpstreamRemoved is the removal of an upstream's entry.
 type UpstreamRemoved struct {
-	Revision Revision
+	Revision bvrevision.Revision
 	ID       bvconfig.UpstreamID
 }
 
 // UpstreamUnreadable is an entry that cannot be decoded or is invalid. Its upstream
 // keeps the flows that it has but gets no new ones.
 type UpstreamUnreadable struct {
-	Revision Revision
+	Revision bvrevision.Revision
 	ID       bvconfig.UpstreamID
 	Problem  string
 }
--- a/core/bvcatalog/history.go
+++ b/core/bvcatalog/history.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"balsamvane/core/bvrevision"
 )
 
 // maxHistory bounds the changes that are kept for followers of this balancer. A
@@ -12,22 +14,22 @@
 
 // batch holds the changes of one answer of the platform.
 type batch struct {
-	revision Revision // Revision up to which the answer was complete.
+	revision bvrevision.Revision // Revision up to which the answer was complete.
 	changes  []Change
 }
 
 // history holds the last changes, so that other balancers can follow this catalog
 // as it follows the platform.
 type history struct {
-	start   Revision // Changes after this revision are held.
+	start   bvrevision.Revision // Changes after this revision are held.
 	batches []batch
 	size    int
 }
 
 // reset discards all changes up to a revision.
-func (h *history) reset(r Revision) { *h = history{start: r} }
+func (h *history) reset(r bvrevision.Revision) { *h = history{start: r} }
 
-func (h *history) append(r Revision, cs []Change) {
+func (h *history) append(r bvrevision.Revision, cs []Change) {
 	if len(cs) == 0 {
 		return
 	}
@@ -42,7 +44,7 @@
 
 // Since returns the changes after a revision, in their order; ok is false if
 // they are not held, or if the revision is of another era.
-func (c *Catalog) Since(after Revision) (cs []Change, ok bool) {
+func (c *Catalog) Since(after bvrevision.Revision) (cs []Change, ok bool) {
 	if !c.listed || after.Era != c.revision.Era || c.history.start.After(after) {
 		return nil, false
 	}
--- a/core/bvcatalog/index_test.go
+++ b/core/bvcatalog/index_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvrevision"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -111,7 +112,7 @@
 			"apply": func(*rapid.T) { c.Apply(now, 0, r, []Change{change()}) },
 			"list":  func(*rapid.T) { c.Replace(now, 0, r, []Change{change(), change()}) },
 			"restore": func(t *rapid.T) {
-				r = Revision{Era: r.Era + 1, Number: rapid.Int64Range(1, r.Number).Draw(t, "number")}
+				r = bvrevision.Revision{Era: r.Era + 1, Number: rapid.Int64Range(1, r.Number).Draw(t, "number")}
 				c.Replace(now, 0, r, []Change{change(), change()})
 			},
 			"pass time": func(t *rapid.T) {
--- a/core/bvcatalog/restore_test.go
+++ b/core/bvcatalog/restore_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvrevision"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -14,7 +15,7 @@
 )
 
 // era2 returns a revision after the restore in these tests.
-func era2(number int64) Revision { return Revision{Era: 2, Number: number} }
+func era2(number int64) bvrevision.Revision { return bvrevision.Revision{Era: 2, Number: number} }
 
 // entry returns an upstream as it is written for the n-th time by the process that
 // started at the given second.
@@ -29,17 +30,6 @@
 	return u
 }
 
-// TestRevision guards against numbers of two eras that are compared with each other.
-func TestRevision(t *testing.T) {
-	assert.True(t, rev(5).After(rev(4)))
-	assert.False(t, rev(5).After(rev(5)))
-	assert.True(t, era2(1).After(rev(9)))
-	assert.False(t, rev(9).After(era2(1)))
-	assert.Equal(t, era2(1), Latest(rev(9), era2(1)))
-	assert.Equal(t, era2(1), Latest(era2(1), rev(9)))
-	assert.Equal(t, "2/1", era2(1).String())
-}
-
 // TestEntriesAfterRestore guards against upstreams that return to an earlier state, or
 // are lost, since the listing after a restore comes from a copy.
 func TestEntriesAfterRestore(t *testing.T) {
@@ -192,7 +182,7 @@
 	assert.Equal(t, era2(7), c.Revision(), "the next watch is after a revision of the restored store")
 	_, ok := c.Since(rev(30))
 	assert.False(t, ok, "the history of a follower from before the restore does not continue")
-	_, ok = c.Since(Revision{Era: 3, Number: 1})
+	_, ok = c.Since(bvrevision.Revision{Era: 3, Number: 1})
 	assert.False(t, ok, "a follower knows of a later restore")
 	_, ok = c.Since(era2(7))
 	assert.True(t, ok)
@@ -205,12 +195,12 @@
 
 // modelStore is a naive store with full copies of its past, for a differential test.
 type modelStore struct {
-	revision Revision
+	revision bvrevision.Revision
 	items    map[string]Change // The newest change of each entry that exists.
 	changes  []Change          // All changes of the era's history, with revision i+1 at index i.
 }
 
-func (s *modelStore) write(key string, change func(r Revision) Change, exists bool) {
+func (s *modelStore) write(key string, change func(r bvrevision.Revision) Change, exists bool) {
 	s.revision.Number++
 	ch := change(s.revision)
 	s.changes = append(s.changes, ch)
@@ -274,27 +264,27 @@
 func TestFollowingRestoredStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := start
-		s := modelStore{revision: Revision{Era: 1}, items: map[string]Change{}}
+		s := modelStore{revision: bvrevision.Revision{Era: 1}, items: map[string]Change{}}
 		// The truth is what the operators and the upstreams want the store to hold.
 		version, zones, upstreams := uint64(0), map[string]bool{}, map[bvconfig.UpstreamID]Upstream{}
 		writeConfiguration := func() {
-			s.write("config", func(Revision) Change { return configuration(version, 80) }, true)
+			s.write("config", func(bvrevision.Revision) Change { return configuration(version, 80) }, true)
 		}
 		writeZone := func(z string) {
 			if zones[z] {
-				s.write("zone "+z, func(Revision) Change { return ZoneOutOfService{z} }, true)
+				s.write("zone "+z, func(bvrevision.Revision) Change { return ZoneOutOfService{z} }, true)
 			} else if _, ok := s.items["zone "+z]; ok {
-				s.write("zone "+z, func(Revision) Change { return ZoneBackInService{z} }, false)
+				s.write("zone "+z, func(bvrevision.Revision) Change { return ZoneBackInService{z} }, false)
 			}
 		}
 		writeUpstream := func(id bvconfig.UpstreamID) {
 			key := "upstream " + string(rune('0'+id))
 			if u, ok := upstreams[id]; ok {
 				if old, ok := s.items[key].(UpstreamPut); !ok || old.Upstream != u {
-					s.write(key, func(r Revision) Change { return UpstreamPut{r, u} }, true)
+					s.write(key, func(r bvrevision.Revision) Change { return UpstreamPut{r, u} }, true)
 				}
 			} else if _, ok := s.items[key]; ok {
-				s.write(key, func(r Revision) Change { return UpstreamRemoved{r, id} }, false)
+				s.write(key, func(r bvrevision.Revision) Change { return UpstreamRemoved{r, id} }, false)
 			}
 		}
 		writeAgain := func() {
--- a/core/bvtoken/fixture_test.go
+++ b/core/bvtoken/fixture_test.go
@@ -7,6 +7,7 @@
 	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvflow"
+	"balsamvane/core/bvrevision"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -18,7 +19,7 @@
 )
 
 // rev returns a revision of era 1.
-func rev(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 1, Number: number} }
+func rev(number int64) bvrevision.Revision { return bvrevision.Revision{Era: 1, Number: number} }
 
 // fixture is a router with its catalog and a simulated clock.
 type fixture struct {
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -30,6 +30,7 @@
 	"time"
 
 	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvrevision"
 	"balsamvane/core/bvsource"
 
 	"github.com/jonboulle/clockwork"
@@ -67,7 +68,7 @@
 
 // Listing holds all entries, or the changes up to a revision.
 type Listing struct {
-	Revision bvcatalog.Revision
+	Revision bvrevision.Revision
 	Changes  []bvcatalog.Change
 	// Age is the time since the store confirmed that this is complete.
 	Age time.Duration
@@ -78,7 +79,7 @@
 
 // Position is the revision and age of a follower's state.
 type Position struct {
-	Revision bvcatalog.Revision
+	Revision bvrevision.Revision
 	// Age is the time since the store confirmed that the state is complete. A
 	// source whose state is clearly more recent answers at once.
 	Age time.Duration
@@ -167,7 +168,7 @@
 
 	started       bool // The first listing was read.
 	listed        bool
-	revision      bvcatalog.Revision
+	revision      bvrevision.Revision
 	confirmedAt   time.Time // When the store last confirmed the state.
 	currentSource string    // Source of the last answer; empty if there was none.
 
--- a/io/bvfollower/bvfollower_test.go
+++ b/io/bvfollower/bvfollower_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvrevision"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
@@ -17,13 +18,13 @@
 )
 
 // rev returns a revision of era 1.
-func rev(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 1, Number: number} }
+func rev(number int64) bvrevision.Revision { return bvrevision.Revision{Era: 1, Number: number} }
 
 // call is one call of a fake store; the test sends the result to answer.
 type call struct {
 	list   bool
 	part   func() // Reports a part of a listing.
-	after  bvcatalog.Revision
+	after  bvrevision.Revision
 	age    time.Duration
 	wait   time.Duration
 	answer chan<- answer
@@ -189,7 +190,7 @@
 }
 
 // era2 returns a revision after a restore of the store.
-func era2(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 2, Number: number} }
+func era2(number int64) bvrevision.Revision { return bvrevision.Revision{Era: 2, Number: number} }
 
 // TestRestoredStore guards against a follower that goes on from a revision of the lost
 // history after the store was restored from a copy, whether the source answers with
--- a/io/bvfollower/round.go
+++ b/io/bvfollower/round.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvrevision"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
@@ -249,11 +249,11 @@
 	f.setCurrentSource(q.source)
 	f.recordConfirmation(l)
 	if q.list {
-		f.listed, f.revision = true, bvcatalog.Latest(f.revision, l.Revision)
+		f.listed, f.revision = true, bvrevision.Latest(f.revision, l.Revision)
 		sink(Listed{Listing: l})
 		return 0
 	}
-	f.revision = bvcatalog.Latest(f.revision, l.Revision)
+	f.revision = bvrevision.Latest(f.revision, l.Revision)
 	sink(Changed{Listing: l})
 	return len(l.Changes)
 }
--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -16,6 +16,7 @@
 	"balsamvane/core/bvfanout"
 	"balsamvane/core/bvfinding"
 	"balsamvane/core/bvflow"
+	"balsamvane/core/bvrevision"
 	"balsamvane/core/bvtoken"
 	"balsamvane/io/bvadmin"
 	"balsamvane/io/bvfollower"
@@ -79,7 +80,7 @@
 var loopback = netip.MustParseAddr("127.0.0.1")
 
 // rev returns a revision of era 1.
-func rev(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 1, Number: number} }
+func rev(number int64) bvrevision.Revision { return bvrevision.Revision{Era: 1, Number: number} }
 
 // fakeStore answers listings with the result that the test has set.
 type fakeStore struct {
--- a/io/bvforwarder/decisionlog.go
+++ b/io/bvforwarder/decisionlog.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvflow"
+	"balsamvane/core/bvrevision"
 	"balsamvane/core/bvtoken"
 	"balsamvane/io/bvlog"
 
@@ -48,7 +48,7 @@
 // catalogState describes the catalog that a batch was routed with.
 type catalogState struct {
 	age      time.Duration
-	revision bvcatalog.Revision
+	revision bvrevision.Revision
 	version  uint64
 }
 
--- a/io/bvforwarder/provider.go
+++ b/io/bvforwarder/provider.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvrevision"
 	"balsamvane/io/bvfollower"
 )
 
@@ -21,7 +22,7 @@
 }
 
 // Since implements bvrelay.Provider.
-func (p provider) Since(after bvcatalog.Revision) (bvfollower.Listing, bool) {
+func (p provider) Since(after bvrevision.Revision) (bvfollower.Listing, bool) {
 	w := p.forwarder
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvrevision"
 	"balsamvane/io/bvadmin"
 	"balsamvane/io/bvfollower"
 	"balsamvane/io/bvhttp"
@@ -43,7 +44,7 @@
 
 // logRestore logs that the store was restored from a copy, if the revision of the
 // catalog shows it. The caller holds mu.
-func (w *Forwarder) logRestore(before bvcatalog.Revision, wasComplete bool) {
+func (w *Forwarder) logRestore(before bvrevision.Revision, wasComplete bool) {
 	after := w.catalog.Revision()
 	if wasComplete && after.Era != before.Era {
 		w.log.Warn("store was restored from a copy", zap.Int64("revisionBefore", before.Number), zap.Uint64("eraBefore", before.Era),
--- a/io/bvrelay/bench_test.go
+++ b/io/bvrelay/bench_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvfanout"
+	"balsamvane/core/bvrevision"
 	"balsamvane/io/bvfollower"
 
 	"github.com/jonboulle/clockwork"
@@ -46,7 +46,7 @@
 // BenchmarkWatch measures the cost of a watch at client and server together: with
 // an answer without changes, and with one changed upstream.
 func BenchmarkWatch(b *testing.B) {
-	for name, after := range map[string]bvcatalog.Revision{"noChange": rev(8), "oneChange": rev(7)} {
+	for name, after := range map[string]bvrevision.Revision{"noChange": rev(8), "oneChange": rev(7)} {
 		b.Run(name, func(b *testing.B) {
 			p := newFakeProvider()
 			p.catalog.Replace(time.Unix(0, 0), 0, rev(7), allChanges[:1])
--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -22,6 +22,7 @@
 
 	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvrevision"
 	"balsamvane/io/bvfollower"
 )
 
@@ -193,7 +194,7 @@
 
 // number returns the number of a revision in an answer of the given era. For a
 // revision of an earlier era it is 0, which is before all revisions of the era.
-func number(r bvcatalog.Revision, era uint64) int64 {
+func number(r bvrevision.Revision, era uint64) int64 {
 	if r.Era != era {
 		return 0
 	}
@@ -246,7 +247,7 @@
 	if err != nil {
 		return bvfollower.Listing{}, err
 	}
-	out := bvfollower.Listing{Revision: bvcatalog.Revision{Era: w.Era, Number: w.Revision}, Age: duration(w.Age), Path: path}
+	out := bvfollower.Listing{Revision: bvrevision.Revision{Era: w.Era, Number: w.Revision}, Age: duration(w.Age), Path: path}
 	for _, x := range w.Changes {
 		c, err := x.decode(w.Era)
 		if err != nil {
@@ -270,11 +271,11 @@
 		return x.Upstream.decode(era)
 	case x.Removed != nil:
 		return bvcatalog.UpstreamRemoved{
-			Revision: bvcatalog.Revision{Era: era, Number: x.Removed.Revision}, ID: bvconfig.UpstreamID(x.Removed.ID),
+			Revision: bvrevision.Revision{Era: era, Number: x.Removed.Revision}, ID: bvconfig.UpstreamID(x.Removed.ID),
 		}, nil
 	case x.Unreadable != nil:
 		return bvcatalog.UpstreamUnreadable{
-			Revision: bvcatalog.Revision{Era: era, Number: x.Unreadable.Revision}, ID: bvconfig.UpstreamID(x.Unreadable.ID),
+			Revision: bvrevision.Revision{Era: era, Number: x.Unreadable.Revision}, ID: bvconfig.UpstreamID(x.Unreadable.ID),
 			Problem: x.Unreadable.Problem,
 		}, nil
 	}
@@ -310,7 +311,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return bvcatalog.UpstreamPut{Revision: bvcatalog.Revision{Era: era, Number: w.Revision}, Upstream: bvcatalog.Upstream{
+	return bvcatalog.UpstreamPut{Revision: bvrevision.Revision{Era: era, Number: w.Revision}, Upstream: bvcatalog.Upstream{
 		ID: bvconfig.UpstreamID(w.ID), Address: a, Service: w.Service, Zone: w.Zone, Slots: w.Slots,
 		Draining: w.Draining, ColdFor: duration(w.ColdFor), StartedAt: startTime(w.StartedAt), Sequence: w.Sequence,
 	}}, nil
--- a/io/bvrelay/bvrelay_test.go
+++ b/io/bvrelay/bvrelay_test.go
@@ -12,6 +12,7 @@
 	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvfanout"
+	"balsamvane/core/bvrevision"
 	"balsamvane/io/bvcodec"
 	"balsamvane/io/bvfollower"
 
@@ -38,7 +39,7 @@
 	return bvfollower.Listing{Revision: p.catalog.Revision(), Age: p.age, Changes: p.catalog.All(time.Unix(0, 0))}, p.catalog.Complete()
 }
 
-func (p *fakeProvider) Since(after bvcatalog.Revision) (bvfollower.Listing, bool) {
+func (p *fakeProvider) Since(after bvrevision.Revision) (bvfollower.Listing, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cs, ok := p.catalog.Since(after)
@@ -60,7 +61,7 @@
 }
 
 // rev returns a revision of era 1.
-func rev(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 1, Number: number} }
+func rev(number int64) bvrevision.Revision { return bvrevision.Revision{Era: 1, Number: number} }
 
 var allChanges = []bvcatalog.Change{
 	bvcatalog.Configuration{
@@ -187,7 +188,7 @@
 			waiting <- err
 		}()
 	}
-	second := func(number int64) bvcatalog.Revision { return bvcatalog.Revision{Era: 2, Number: number} }
+	second := func(number int64) bvrevision.Revision { return bvrevision.Revision{Era: 2, Number: number} }
 	_, err := startClient(t, p, clockwork.NewFakeClock()).Watch(ctx, bvfollower.Position{Revision: second(3)}, 10*time.Second)
 	require.Error(t, err, "the follower is ahead, and must not wait")
 	require.NotErrorIs(t, err, bvfollower.ErrCompacted, "it would list the state of this balancer")
@@ -211,7 +212,7 @@
 func TestEarlierRevision(t *testing.T) {
 	put := allChanges[3].(bvcatalog.UpstreamPut)
 	put.Revision = rev(90)
-	revision := bvcatalog.Revision{Era: 2, Number: 3}
+	revision := bvrevision.Revision{Era: 2, Number: 3}
 	l, err := encode(bvfollower.Listing{Revision: revision, Changes: []bvcatalog.Change{put}}).decode()
 	require.NoError(t, err)
 	assert.False(t, l.Changes[0].(bvcatalog.UpstreamPut).Revision.After(revision))
--- a/io/bvrelay/server.go
+++ b/io/bvrelay/server.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvfanout"
+	"balsamvane/core/bvrevision"
 	"balsamvane/io/bvcodec"
 	"balsamvane/io/bvfollower"
 	"balsamvane/io/bvhttp"
@@ -34,7 +34,7 @@
 	All() (l bvfollower.Listing, ok bool)
 	// Since returns the changes after a revision; ok is false if the history does
 	// not hold them.
-	Since(after bvcatalog.Revision) (l bvfollower.Listing, ok bool)
+	Since(after bvrevision.Revision) (l bvfollower.Listing, ok bool)
 	// Changed returns a channel that is closed at the next answer of the
 	// provider's own source, with or without changes.
 	Changed() <-chan struct{}
@@ -132,7 +132,7 @@
 // or when the store has confirmed it more recently than the follower's. The last
 // case keeps the follower's state hardly older than this balancer's.
 func (s *Server) waitForChanges(ctx context.Context, q *watchRequest) (bvfollower.Listing, bool) {
-	after := bvcatalog.Revision{Era: q.Era, Number: q.After}
+	after := bvrevision.Revision{Era: q.Era, Number: q.After}
 	end := s.clock.After(min(time.Duration(q.Wait)*time.Millisecond, maxWait))
 	followerAge, started := duration(q.Age), s.clock.Now()
 	for {
