core/bvtoken: keep the flows of a removed upstream that answers

Cause: the entry expired 20 ms before the store was lost, while a cut of its zone kept the upstream from writing. Balancers took the missing entry for the end of the upstream.

Change: only an upstream that has drained has ended when its entry is removed. Flows of another one are forwarded; two unacknowledged packets over 350 ms show that it does not answer, then its flows are reset, with another try every 2 s. What was unanswered before the removal counts. The packet names the upstream's ID, so nobody else takes it.

Price: the first caller of an idle flow at an upstream that has crashed waits 600 ms per balancer, none before.

--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -159,6 +159,7 @@
 	incompleteRuns incompleteRuns
 	recent         recentOpenings
 	unknownTokens  map[bvcatalog.Token]time.Time // When a token without an upstream was first seen.
+	removed        removedUpstreams
 	reachability   reachability
 	// compared counts the upstreams that were compared for new flows. It measures
 	// the cost of openings.
@@ -176,6 +177,7 @@
 		hasher:  bvflow.NewHasher(o.Seed),
 		targets: map[bvconfig.UpstreamID]*target{}, services: map[string]*serviceTargets{},
 		unknownTokens: map[bvcatalog.Token]time.Time{}, zones: map[string]*zoneHealth{},
+		removed: removedUpstreams{},
 		pending: newOpenings(o.MaxPending), requests: newRequests(o.MaxPending),
 	}
 }
--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -32,8 +32,12 @@
 }
 
 // crashed reports whether the run shows that the upstream has crashed.
-func (s *unackedRun) crashed() bool {
-	return s.count >= crashMinUnacked && s.last.Sub(s.first) >= crashMinDuration
+func (s *unackedRun) crashed() bool { return s.lasts(crashMinUnacked) }
+
+// lasts reports whether the run has at least count packets and is not a burst of
+// losses at one moment.
+func (s *unackedRun) lasts(count int) bool {
+	return s.count >= count && s.last.Sub(s.first) >= crashMinDuration
 }
 
 // A balancer counts as isolated from all upstreams after isolatedMinUnacked
--- a/core/bvtoken/fixture_test.go
+++ b/core/bvtoken/fixture_test.go
@@ -88,6 +88,12 @@
 	f.apply(bvcatalog.UpstreamRemoved{Revision: rev(f.revision + 1), ID: id})
 }
 
+// leave makes an upstream drain and removes its entry.
+func (f *fixture) leave(id bvconfig.UpstreamID) {
+	f.change(id, func(u *bvcatalog.Upstream) { u.Draining = true })
+	f.remove(id)
+}
+
 // advance advances the clock while the platform keeps answering.
 func (f *fixture) advance(d time.Duration) {
 	for d > 0 {
--- a/core/bvtoken/refresh.go
+++ b/core/bvtoken/refresh.go
@@ -29,6 +29,7 @@
 			r.refreshService(now, s)
 		}
 	}
+	r.expireRemoved()
 	r.built = true
 }
 
@@ -55,6 +56,7 @@
 		for _, t := range old.all {
 			if t.service == old { // Not moved to another service.
 				delete(r.targets, t.entry.ID)
+				r.retainRemoved(t)
 			}
 		}
 	}
--- /dev/null
+++ b/core/bvtoken/removed.go
@@ -0,0 +1,86 @@
+package bvtoken
+
+import (
+	"time"
+
+	"balsamvane/core/bvcatalog"
+	"balsamvane/core/bvconfig"
+	"balsamvane/core/bvflow"
+)
+
+// removedRetryAfter is how long the flows of a removed upstream that does not answer
+// are reset without another try. Then one packet is forwarded again, since the
+// links to the upstream may have failed meanwhile instead of the upstream.
+const removedRetryAfter = 2 * time.Second
+
+// removedMinUnacked is how many consecutive unacknowledged packets, over at least
+// crashMinDuration, show that a removed upstream has ended. It is lower than
+// crashMinUnacked, since the removal is evidence too.
+const removedMinUnacked = 2
+
+// removedUpstreams holds the unacknowledged packets of upstreams whose entries were
+// removed. An upstream without an entry may serve: its entry expires while it does
+// not reach the platform, and a restore of the platform may lose its registration.
+type removedUpstreams map[bvconfig.UpstreamID]*unackedRun
+
+// routeRemoved decides on a packet of an open flow whose upstream was removed. An
+// upstream that has drained has ended, and so have its flows. Any other one keeps
+// them until it shows that it does not answer.
+func (r *Router) routeRemoved(now time.Time, k bvflow.Key, e *bvcatalog.Entry, p Packet) Decision {
+	if e.Draining {
+		return r.resetFrom(e, p, ReasonUpstreamRemoved)
+	}
+	run := r.removed[e.ID]
+	if run == nil {
+		run = &unackedRun{}
+		r.removed[e.ID] = run
+	}
+	r.observeRemoved(now, k, e.ID, run, p)
+	if run.lasts(removedMinUnacked) && now.Sub(run.last) < removedRetryAfter {
+		r.dropRequest(k)
+		return r.resetFrom(e, p, ReasonUpstreamRemoved)
+	}
+	return forward(e, ReasonToken)
+}
+
+// observeRemoved updates the unacknowledged packets of a removed upstream from a
+// packet of an open flow.
+func (r *Router) observeRemoved(now time.Time, k bvflow.Key, id bvconfig.UpstreamID, run *unackedRun, p Packet) {
+	if q, ok := r.requests.complete(k, p); ok && q.upstream == id {
+		run.reset()
+	}
+	if p.Phase != bvflow.PhaseEstablished {
+		r.requests.remove(k)
+		return
+	}
+	if p.Payload == 0 {
+		return
+	}
+	if q, ok := r.requests.open[k]; ok && q.upstream != id {
+		r.dropRequest(k) // The caller reuses its port.
+	}
+	_, repeats, evicted := r.requests.record(now, k, id, p)
+	r.releaseRequest(evicted)
+	if repeats {
+		run.record(now)
+	}
+}
+
+// retainRemoved keeps the unacknowledged packets of an upstream whose entry was
+// removed.
+func (r *Router) retainRemoved(t *target) {
+	if t.entry.Removed() && !t.entry.Draining {
+		run := t.unacked
+		r.removed[t.entry.ID] = &run
+	}
+}
+
+// expireRemoved drops the upstreams that the catalog has discarded, or has an entry
+// of again.
+func (r *Router) expireRemoved() {
+	for id := range r.removed {
+		if e := r.catalog.ByToken(bvcatalog.TokenOf(id)); e == nil || e.ID != id || !e.Removed() {
+			delete(r.removed, id)
+		}
+	}
+}
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -37,7 +37,7 @@
 		return Decision{Verdict: VerdictDrop, Reason: ReasonUnreadable}
 	}
 	if e.Removed() {
-		return r.resetFrom(e, p, ReasonUpstreamRemoved)
+		return r.routeRemoved(now, k, e, p)
 	}
 	t := r.targets[e.ID]
 	if t == nil { // An upstream without a service has no measurements.
