core/bvtoken: do not reset flows of upstreams removed before the start

Cause: such a balancer never had the upstream's entry, so it took the token for one of an upstream that does not exist.

Change: for as long as removed upstreams are retained (60 s, the longest life of a flow that is promised), a balancer that has started does not conclude that from an unknown token, and drops the packet.

Ruled out: forwarding, since it does not know the address; a listing from a peer at each start, which costs the whole state once more.

Price: a caller of an upstream that has really gone before the start waits for its timeout in place of a reset.

--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -81,6 +81,7 @@
 	// firstGraceEnd is the end of the grace period after the first listing. The
 	// platform may have been unreachable before that listing.
 	firstGraceEnd time.Time
+	firstListedAt time.Time
 	generation    uint64
 	changed       bool // Something has changed since the last generation.
 	history       history
@@ -125,6 +126,13 @@
 	return c.listed && !c.lastAnswer.Before(c.graceEnd) && !c.lastAnswer.Before(c.firstGraceEnd)
 }
 
+// KnowsRemoved reports whether the catalog has all upstreams that were removed within
+// [Options.RetainRemoved]. Until then, an upstream that it does not know may have
+// been removed before the first listing.
+func (c *Catalog) KnowsRemoved(now time.Time) bool {
+	return c.listed && now.Sub(c.firstListedAt) >= c.options.RetainRemoved
+}
+
 // Route returns the route of an address.
 func (c *Catalog) Route(a netip.AddrPort) (Route, bool) {
 	r, ok := c.routes[a]
@@ -217,7 +225,7 @@
 	}
 	c.revision = bvrevision.Latest(c.revision, r)
 	if !c.listed {
-		c.listed, c.firstGraceEnd = true, now.Add(c.options.GracePeriod)
+		c.listed, c.firstListedAt, c.firstGraceEnd = true, now, now.Add(c.options.GracePeriod)
 	}
 	c.history.reset(c.revision)
 	c.commit()
--- a/core/bvcatalog/catalog_test.go
+++ b/core/bvcatalog/catalog_test.go
@@ -313,3 +313,15 @@
 	c.Tick(at(recovery + 14*time.Second))
 	assert.Equal(t, []bvconfig.UpstreamID{2}, ids(c))
 }
+
+// TestKnowsRemoved guards against a balancer that takes an upstream which was removed
+// before its start for one that never existed.
+func TestKnowsRemoved(t *testing.T) {
+	c := New(Options{})
+	assert.False(t, c.KnowsRemoved(at(time.Hour)), "without a listing")
+	c.Replace(start, 0, rev(10), nil)
+	assert.False(t, c.KnowsRemoved(at(59*time.Second)))
+	assert.True(t, c.KnowsRemoved(at(time.Minute)))
+	c.Replace(at(time.Minute), 0, rev(11), nil)
+	assert.True(t, c.KnowsRemoved(at(time.Minute)), "a further listing")
+}
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -54,9 +54,10 @@
 }
 
 // routeUnknownToken decides on a packet whose token belongs to no upstream.
-// Another balancer may have received a new upstream's entry earlier. If the platform
-// confirms later that there is no such upstream, it was removed and the flow has
-// ended.
+// Another balancer may have received a new upstream's entry earlier, or the entry may
+// have been removed before this balancer started although the upstream still
+// serves its flows. If the platform confirms later that there is no such upstream,
+// and it was not removed recently, the flow has ended.
 func (r *Router) routeUnknownToken(now time.Time, p Packet) Decision {
 	first, ok := r.unknownTokens[p.Token]
 	if !ok {
@@ -66,7 +67,7 @@
 		r.unknownTokens[p.Token] = now
 		return Decision{Verdict: VerdictDrop, Reason: ReasonUnknownToken}
 	}
-	if !r.catalog.Confirmed(first) || !r.catalogCurrent(now) {
+	if !r.catalog.KnowsRemoved(now) || !r.catalog.Confirmed(first) || !r.catalogCurrent(now) {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonUnknownToken}
 	}
 	return r.reset(p, ReasonUnknownToken)
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -127,9 +127,10 @@
 }
 
 // TestUnknownToken guards against callers that wait until their deadline for an
-// upstream that was removed before this balancer started, against resets of flows at
-// an upstream whose entry only this balancer has not received, and against resets
-// while entries may be missing.
+// upstream that does not exist, against resets of flows at an upstream whose entry
+// only this balancer has not received, and against resets while entries may be
+// missing, or may have been removed before this balancer started although their
+// upstreams serve.
 func TestUnknownToken(t *testing.T) {
 	f := newStartingFixture(11, 12)
 	flowAt := func(id bvconfig.UpstreamID) *flow {
@@ -141,6 +142,8 @@
 	assert.Equal(t, VerdictDrop, f.request(removed, false).Verdict)
 	f.advance(time.Second)
 	assert.Equal(t, VerdictDrop, f.request(removed, true).Verdict, "entries may be missing right after the start")
+	f.advance(57 * time.Second)
+	assert.Equal(t, VerdictDrop, f.request(removed, true).Verdict, "the upstream may still serve")
 	f.advance(3 * time.Second)
 	d := f.request(removed, true)
 	assert.Equal(t, VerdictReset, d.Verdict)
