io/bvplatform: begin a watch anew when the platform was restored

Callers: configurations published after a restore of the platform were not in force until their revisions exceeded those of the lost history.

Cause: the watch went on after the highest revision seen, and Read preferred replicas by a bare number.

Change: answers state the era in Platform-Era, a watch states the era that it goes on in, and the platform answers at once in another one. Revisions are those of bvrevision. The stand-in can keep a copy and return to it (POST /copy, POST /restore).

Ruled out: taking a lower revision for a restore, since a replica that lags behind has one too.

--- a/io/bvplatform/bvplatform.go
+++ b/io/bvplatform/bvplatform.go
@@ -7,6 +7,9 @@
 // call is repeated at another replica within a retry budget, and a watch without
 // an answer is canceled and repeated on a new connection.
 //
+// A platform that was restored from a copy says so with a higher era in its
+// answers, and gives out revisions again. A watch then begins anew.
+//
 // The client returns the published bytes without decoding them.
 //
 // # Usage
@@ -31,6 +34,7 @@
 	"time"
 
 	"balsamvane/core/bvretry"
+	"balsamvane/core/bvrevision"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
@@ -98,9 +102,9 @@
 	budget    bvretry.Budget
 
 	mu          sync.Mutex
-	nextReplica int               // Index of the replica for the next call.
-	revision    uint64            // Platform revision of the newest manifest read.
-	cachedParts map[string][]byte // Parts of the last manifest, by SHA-256.
+	nextReplica int                 // Index of the replica for the next call.
+	revision    bvrevision.Revision // Platform revision of the newest manifest read.
+	cachedParts map[string][]byte   // Parts of the last manifest, by SHA-256.
 	random      *rand.Rand
 }
 
@@ -148,13 +152,13 @@
 
 func (c *Client) manifestKey() string { return "groups/" + c.group + "/manifest" }
 
-func (c *Client) recordRevision(r uint64) {
+func (c *Client) recordRevision(r bvrevision.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.revision = max(c.revision, r)
+	c.revision = bvrevision.Latest(c.revision, r)
 }
 
-func (c *Client) newestRevision() uint64 {
+func (c *Client) newestRevision() bvrevision.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.revision
@@ -183,10 +187,10 @@
 			}
 			continue
 		}
-		if v.revision > best.revision || best.body == nil {
+		if v.revision.After(best.revision) || best.body == nil {
 			best = v
 		}
-		if !isManifest || v.revision >= c.newestRevision() {
+		if !isManifest || !c.newestRevision().After(v.revision) {
 			return v, nil
 		}
 		c.advanceReplica()
--- a/io/bvplatform/bvplatform_test.go
+++ b/io/bvplatform/bvplatform_test.go
@@ -5,14 +5,18 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"balsamvane/core/bvrevision"
+
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -21,6 +25,7 @@
 // replica simulates one replica of the platform.
 type replica struct {
 	mu           sync.Mutex
+	era          uint64
 	revision     uint64
 	values       map[string]string
 	reads        map[string]int
@@ -55,6 +60,21 @@
 	r.changed = make(chan struct{})
 }
 
+// restore returns to a state before revision and ends all waits.
+func (r *replica) restore(revision uint64, values map[string]string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.era, r.revision, r.values = r.era+1, revision, maps.Clone(values)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *replica) copyValues() map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.values)
+}
+
 func (r *replica) setUnresponsive(v bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -66,14 +86,15 @@
 	r.mu.Lock()
 	r.reads[key]++
 	unresponsive, changed, isWatch := r.unresponsive, r.changed, req.URL.Query().Has("waitSeconds")
-	newer := req.URL.Query().Get("afterRevision") != fmt.Sprint(r.revision)
+	query := req.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("afterRevision"), 10, 64)
 	r.mu.Unlock()
 	r.called <- struct{}{}
 	switch {
 	case unresponsive:
 		<-req.Context().Done()
 		return
-	case isWatch && !newer:
+	case isWatch && after >= r.currentRevision() && (!query.Has("afterEra") || query.Get("afterEra") == r.currentEra()):
 		select {
 		case <-req.Context().Done():
 			return
@@ -88,9 +109,26 @@
 		return
 	}
 	w.Header().Set("Platform-Revision", fmt.Sprint(r.revision))
+	w.Header().Set("Platform-Era", fmt.Sprint(r.era))
+	if isWatch && r.revision <= after {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	_, _ = w.Write([]byte(v))
 }
 
+func (r *replica) currentRevision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
+func (r *replica) currentEra() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strconv.FormatUint(r.era, 10)
+}
+
 func (r *replica) partReads(part string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -153,7 +191,7 @@
 	clock := clockwork.NewFakeClock()
 	for seed := range uint64(6) {
 		c := New([]netip.AddrPort{g, b, a}, "g", clock, Options{Seed: seed})
-		c.recordRevision(5)
+		c.recordRevision(bvrevision.Revision{Number: 5})
 		for range 3 {
 			clock.Advance(time.Minute) // Refills the retry budget.
 			got, err := c.Read(t.Context())
@@ -180,6 +218,70 @@
 	require.NoError(t, err)
 }
 
+// TestRestoredPlatform guards against a watch that skips the configurations published
+// after the platform was restored from a copy, until their revisions exceed those of
+// the lost history. The platform is restored while a watch waits, or while it is down.
+func TestRestoredPlatform(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		t.Run(fmt.Sprintf("down %t", down), func(t *testing.T) {
+			r, addr := newReplica(t)
+			r.publish(1, "a")
+			saved := r.copyValues()
+			clock := clockwork.NewFakeClock()
+			c := New([]netip.AddrPort{addr}, "g", clock, Options{})
+			ctx, cancel := context.WithCancel(t.Context())
+			updates := make(chan Update, 100)
+			done := make(chan error)
+			go func() { done <- c.Watch(ctx, func(u Update) { updates <- u }) }()
+			// next returns the next configuration. The clock advances by less than a wait.
+			next := func(want string) {
+				t.Helper()
+				end := clock.Now().Add(20 * time.Second)
+				for clock.Now().Before(end) {
+					select {
+					case u := <-updates:
+						if u.Bundle.Manifest == nil {
+							continue
+						}
+						assert.Contains(t, string(u.Bundle.Manifest), want)
+						return
+					case <-time.After(5 * time.Millisecond):
+						clock.Advance(100 * time.Millisecond)
+					}
+				}
+				require.Fail(t, "no configuration", want)
+			}
+			next(`"revision":1`)
+			r.publish(2, "b")
+			next(`"revision":2`)
+			r.publish(3, "c")
+			next(`"revision":3`)
+			if down {
+				r.setUnresponsive(true)
+				for failed := false; !failed; {
+					clock.Advance(40 * time.Second)
+					select {
+					case u := <-updates:
+						failed = u.Err != nil
+					case <-time.After(5 * time.Millisecond):
+					}
+				}
+			}
+			r.restore(1, saved)
+			r.publish(2, "d")
+			r.setUnresponsive(false)
+			next(`"revision":2`)
+			r.publish(3, "e")
+			next(`"revision":3`)
+			b, err := c.Read(ctx)
+			require.NoError(t, err)
+			assert.Contains(t, string(b.Manifest), `"revision":3`)
+			cancel()
+			require.ErrorIs(t, <-done, context.Canceled)
+		})
+	}
+}
+
 // TestWatch guards against a watch that misses a change, hangs on an unresponsive
 // connection, or does not recover afterwards.
 func TestWatch(t *testing.T) {
--- a/io/bvplatform/watch.go
+++ b/io/bvplatform/watch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"balsamvane/core/bvretry"
+	"balsamvane/core/bvrevision"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
@@ -22,19 +23,24 @@
 // publish the same manifest revision twice.
 const revisionHeader = "Platform-Revision"
 
+// eraHeader is the header that counts how often the platform was restored from a
+// copy. A platform that does not send it is in era 0.
+const eraHeader = "Platform-Era"
+
 var errNotModified = errors.New("bvplatform: value has not changed")
 
 // value is an answer of a replica.
 type value struct {
 	body     []byte
-	revision uint64
+	revision bvrevision.Revision
 	replica  netip.AddrPort
 }
 
 // longPoll holds the parameters of a long poll: the replica answers when the
-// value has a revision higher than after, or when the seconds have passed.
+// value has a revision higher than after, when the replica is not in after's era, or
+// when the seconds have passed.
 type longPoll struct {
-	after   uint64
+	after   bvrevision.Revision
 	seconds int
 }
 
@@ -45,7 +51,7 @@
 	u := url.URL{Scheme: "http", Host: at.String(), Path: "/v1/values/" + key}
 	if w.seconds > 0 {
 		limit = time.Duration(w.seconds)*time.Second + c.options.WatchMargin
-		u.RawQuery = fmt.Sprintf("afterRevision=%d&waitSeconds=%d", w.after, w.seconds)
+		u.RawQuery = fmt.Sprintf("afterRevision=%d&afterEra=%d&waitSeconds=%d", w.after.Number, w.after.Era, w.seconds)
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, c.clock, limit)
 	defer cancel()
@@ -63,18 +69,24 @@
 	return v, err
 }
 
+// readAnswer returns the value of an answer. If the value has not changed, it returns
+// errNotModified and a value with only the era.
 func readAnswer(resp *http.Response, key string) (value, error) {
+	era, err := readEra(resp.Header)
+	if err != nil {
+		return value{}, err
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotModified:
-		return value{}, errNotModified
+		return value{revision: bvrevision.Revision{Era: era}}, errNotModified
 	case http.StatusNotFound:
 		return value{}, eris.Wrapf(ErrAbsent, "reading %s", key)
 	default:
 		return value{}, eris.Wrapf(ErrUnexpectedAnswer, "status %d for %s", resp.StatusCode, key)
 	}
-	revision, err := strconv.ParseUint(resp.Header.Get(revisionHeader), 10, 64)
-	if err != nil {
+	number, err := strconv.ParseInt(resp.Header.Get(revisionHeader), 10, 64)
+	if err != nil || number < 0 {
 		return value{}, eris.Wrapf(ErrUnexpectedAnswer, "no %s for %s", revisionHeader, key)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
@@ -84,7 +96,19 @@
 	if len(body) > MaxValueBytes {
 		return value{}, eris.Wrapf(ErrOversized, "reading %s", key)
 	}
-	return value{body: body, revision: revision}, nil
+	return value{body: body, revision: bvrevision.Revision{Era: era, Number: number}}, nil
+}
+
+func readEra(h http.Header) (uint64, error) {
+	v := h.Get(eraHeader)
+	if v == "" {
+		return 0, nil
+	}
+	era, err := strconv.ParseUint(v, 10, 64)
+	if err != nil {
+		return 0, eris.Wrapf(ErrUnexpectedAnswer, "%s %q", eraHeader, v)
+	}
+	return era, nil
 }
 
 // Update is the result of one round of a watch.
@@ -100,14 +124,14 @@
 // configuration, no change, or a failure. It returns the error of ctx.
 func (c *Client) Watch(ctx context.Context, sink func(Update)) error {
 	backoff := bvretry.NewBackoff(c.options.FirstDelay, c.options.MaxDelay, c.options.Seed)
-	after := uint64(0)
+	after := bvrevision.Revision{}
 	for ctx.Err() == nil {
 		b, revision, err := c.watchOnce(ctx, after)
 		if ctx.Err() != nil {
 			break
 		}
 		if err == nil {
-			after = max(after, revision)
+			after = bvrevision.Latest(after, revision)
 			backoff.Reset()
 			sink(Update{Bundle: b})
 			continue
@@ -123,23 +147,26 @@
 }
 
 // watchOnce makes one long poll. Its result has no manifest if there is no
-// revision higher than after.
-func (c *Client) watchOnce(ctx context.Context, after uint64) (Bundle, uint64, error) {
+// revision after the given one. If the platform was restored from a copy, the
+// returned revision is the start of the new era, after which a watch gets the value
+// whatever its number is.
+func (c *Client) watchOnce(ctx context.Context, after bvrevision.Revision) (Bundle, bvrevision.Revision, error) {
+	none := bvrevision.Revision{}
 	if len(c.addresses) == 0 {
-		return Bundle{}, 0, ErrNoAddresses
+		return Bundle{}, none, ErrNoAddresses
 	}
 	w := longPoll{after: after, seconds: max(int(c.options.WatchWait/time.Second), 1)}
 	v, err := c.get(ctx, c.replica(), c.manifestKey(), w)
-	if errors.Is(err, errNotModified) {
-		return Bundle{}, after, nil
-	}
-	if err != nil {
-		return Bundle{}, 0, err
-	}
-	if v.revision <= after {
+	notModified := errors.Is(err, errNotModified)
+	switch {
+	case err != nil && !notModified:
+		return Bundle{}, none, err
+	case v.revision.Era < after.Era, !notModified && !v.revision.After(after):
 		// A stale replica answers at once; without this error the watch would
 		// call it in a tight loop.
-		return Bundle{}, 0, eris.Wrapf(ErrUnexpectedAnswer, "revision %d is not after %d", v.revision, after)
+		return Bundle{}, none, eris.Wrapf(ErrUnexpectedAnswer, "revision %s is not after %s", v.revision, after)
+	case notModified:
+		return Bundle{}, v.revision, nil
 	}
 	c.recordRevision(v.revision)
 	b, err := c.bundle(ctx, v.body)
--- a/standin/bvstandplatform/bvstandplatform.go
+++ b/standin/bvstandplatform/bvstandplatform.go
@@ -7,14 +7,19 @@
 //	p := bvstandplatform.New(options, clockwork.NewRealClock())
 //	err := p.Run(ctx)
 //
-// Values: GET /v1/values/{key}?afterRevision=N&waitSeconds=S answers with the
-// value and the header Platform-Revision, with 304 if the revision is still N
-// after S seconds, and with 404 for an unknown key.
+// Values: GET /v1/values/{key}?afterRevision=N&afterEra=E&waitSeconds=S answers with
+// the value and the header Platform-Revision if the revision is higher than N, with
+// 304 if it is not after S seconds, and with 404 for an unknown key. The header
+// Platform-Era in all answers counts how often the values were restored from a copy.
+// If E is given and is another era, the answer comes at once.
 //
 // Control, on a separate port: POST /mode?mode=M with M normal, stale (serves
 // the values as they were when the mode was set), slow (each answer is
 // delayed), silent (connections stay open without an answer) or absent
-// (connections are closed); GET /counts.
+// (connections are closed); POST /copy keeps a copy of the values; POST /restore
+// returns to it, begins a new era and ends all waits; GET /counts. Values of which
+// the directory has a newer content are then published again, with revisions that
+// were given out before.
 package bvstandplatform
 
 import (
@@ -42,6 +47,12 @@
 	maxWaitSeconds = 60
 )
 
+// The headers with the revision of a value, and with the era of all revisions.
+const (
+	revisionHeader = "Platform-Revision"
+	eraHeader      = "Platform-Era"
+)
+
 // Modes of the platform.
 const (
 	ModeNormal = "normal"
@@ -82,13 +93,15 @@
 	counts      Counts
 	values      map[string]value
 	staleValues map[string]value // Served in mode stale.
+	saved       map[string]value // The copy for a restore; nil if there is none.
+	era         uint64           // Counts restores, from 1.
 	changed     chan struct{}    // Closed and replaced when a value or the mode changes.
 }
 
 // New returns a platform in mode normal; Run reads the directory.
 func New(o Options, clock clockwork.Clock) *Platform {
 	return &Platform{
-		options: o, clock: clock, values: map[string]value{}, changed: make(chan struct{}),
+		options: o, clock: clock, era: 1, values: map[string]value{}, changed: make(chan struct{}),
 		counts: Counts{Mode: ModeNormal, ByKey: map[string]int{}},
 	}
 }
@@ -174,6 +187,12 @@
 			http.Error(w, "unknown mode", http.StatusBadRequest)
 		}
 	})
+	mux.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) { p.save() })
+	mux.HandleFunc("POST /restore", func(w http.ResponseWriter, _ *http.Request) {
+		if !p.restore() {
+			http.Error(w, "there is no copy", http.StatusConflict)
+		}
+	})
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -198,6 +217,27 @@
 	return true
 }
 
+// save keeps a copy of the values.
+func (p *Platform) save() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.saved = maps.Clone(p.values)
+}
+
+// restore returns to the copy and begins a new era. It reports whether there is a
+// copy.
+func (p *Platform) restore() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.saved == nil {
+		return false
+	}
+	p.values = maps.Clone(p.saved)
+	p.era++
+	p.notifyWaiters()
+	return true
+}
+
 func (p *Platform) serveValue(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
 	after, _ := strconv.ParseUint(r.FormValue("afterRevision"), 10, 64)
@@ -215,13 +255,14 @@
 	timeout := p.clock.After(time.Duration(min(seconds, maxWaitSeconds)) * time.Second)
 	for {
 		p.mu.Lock()
-		mode, changed := p.counts.Mode, p.changed
+		mode, changed, era := p.counts.Mode, p.changed, p.era
 		values := p.values
 		if mode == ModeStale {
 			values = p.staleValues
 		}
 		v, ok := values[key]
 		p.mu.Unlock()
+		w.Header().Set(eraHeader, strconv.FormatUint(era, 10))
 		switch {
 		case mode == ModeAbsent:
 			panic(http.ErrAbortHandler) // net/http closes the connection.
@@ -235,12 +276,14 @@
 		case v.revision > after:
 			p.writeValue(w, mode, v)
 			return
+		case r.FormValue("afterEra") != "" && r.FormValue("afterEra") != strconv.FormatUint(era, 10):
+			writeNotModified(w, v)
+			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			w.Header().Set("Platform-Revision", strconv.FormatUint(v.revision, 10))
-			w.WriteHeader(http.StatusNotModified)
+			writeNotModified(w, v)
 			return
 		case <-r.Context().Done():
 			return
@@ -248,11 +291,16 @@
 	}
 }
 
+func writeNotModified(w http.ResponseWriter, v value) {
+	w.Header().Set(revisionHeader, strconv.FormatUint(v.revision, 10))
+	w.WriteHeader(http.StatusNotModified)
+}
+
 func (p *Platform) writeValue(w http.ResponseWriter, mode string, v value) {
 	if mode == ModeSlow {
 		p.clock.Sleep(p.options.Delay)
 	}
-	w.Header().Set("Platform-Revision", strconv.FormatUint(v.revision, 10))
+	w.Header().Set(revisionHeader, strconv.FormatUint(v.revision, 10))
 	// Fails only if the client has disconnected.
 	_, _ = w.Write(v.content)
 }
--- a/standin/bvstandplatform/platform_test.go
+++ b/standin/bvstandplatform/platform_test.go
@@ -93,6 +93,36 @@
 	assert.Equal(t, uint64(1), r.platform.counts.Calls)
 }
 
+// TestPlatformRestore guards against a restore that keeps revisions, does not begin a
+// new era, or leaves a watch waiting.
+func TestPlatformRestore(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := newHarness(t, clock)
+	require.False(t, r.platform.restore(), "there is no copy")
+	r.platform.save()
+	r.write("two")
+	r.requireValue("", http.StatusOK, "2", "two")
+	type answer struct {
+		status int
+		era    string
+	}
+	done := make(chan answer)
+	go func() {
+		resp, err := http.Get(r.server.URL + "/v1/values/groups/g/vms?afterRevision=2&afterEra=1&waitSeconds=30")
+		if assert.NoError(t, err) {
+			_ = resp.Body.Close()
+			done <- answer{resp.StatusCode, resp.Header.Get(eraHeader)}
+		}
+	}()
+	require.NoError(t, clock.BlockUntilContext(t.Context(), 1))
+	require.True(t, r.platform.restore())
+	assert.Equal(t, answer{http.StatusNotModified, "2"}, <-done)
+	r.requireValue("", http.StatusOK, "1", "one")
+	r.requireValue("?afterRevision=2&afterEra=1&waitSeconds=30", http.StatusNotModified, "1", "")
+	require.NoError(t, r.platform.poll())
+	r.requireValue("?afterRevision=0&afterEra=2&waitSeconds=30", http.StatusOK, "2", "two")
+}
+
 // TestPlatformModes guards against modes that do not behave as documented.
 func TestPlatformModes(t *testing.T) {
 	clock := clockwork.NewFakeClock()
