--- a/cmd/balsamvane/explain.go
+++ b/cmd/balsamvane/explain.go
@@ -150,7 +150,7 @@
 	case "upstream changed", "upstream gone":
 		return upstreams[l.Upstream]
 	case "zone taken out of service", "zone back in service", "configuration in force", "source does not answer",
-		"following source", "balancer started", "stop requested", "balancer stopped", "catalog listed":
+		"store was restored from a copy", "following source", "balancer started", "stop requested", "balancer stopped", "catalog listed":
 		return true
 	}
 	return false
--- a/core/bvtoken/reason.go
+++ b/core/bvtoken/reason.go
@@ -60,7 +60,7 @@
 	"all upstreams that accept new flows were cold, and this balancer's share of their budget was used up",
 	"no upstream existed for the token",
 	"the packet was not an opening and had no token",
-	"the upstream had been removed, so the flow had ended",
+	"the upstream had been removed, after it had drained or while it did not answer, so the flow had ended",
 	"the upstream did not acknowledge packets while others did, and the request is idempotent",
 	"the upstream's entry could not be decoded, so its address was unknown",
 	"the packet could not be decoded",
