core/bvtoken: let the evidence of a crash expire

Cause: unacknowledged packets counted until the next answer, without an age. While all flows of an upstream are reset, and it gets no new ones, no answer can arrive, so the state kept itself up.

Evidence: front-cr-central-c-1 reset flows of i-71bc06d2a1 from 12.07 to 16.94 s by upstreamSilent; its cut had ended at 11.86 s.

Change: 2 s after the last unacknowledged packet, one more is forwarded. It is the rule that flows of removed upstreams have already.

Ruled out: entries lost by a restore (the upstreams are in the listing).

Before and after: TestOldEvidence failed with a reset, and passes.

--- a/core/bvtoken/crash_test.go
+++ b/core/bvtoken/crash_test.go
@@ -154,3 +154,30 @@
 	assert.Zero(t, refused)
 	assert.Equal(t, int(length/interval), inZone, "the zone is in use again")
 }
+
+// TestOldEvidence guards against idle flows that are reset at an upstream which was
+// silent some time ago: its links had failed, and while every packet to it is
+// answered with a reset, nothing can show that it is back.
+func TestOldEvidence(t *testing.T) {
+	f := newFixture(11, 12)
+	connect := func(id bvconfig.UpstreamID) *flow {
+		for {
+			if x := f.connect(feeds); x.upstream == id {
+				return x
+			}
+		}
+	}
+	active, idle, other := connect(11), connect(11), connect(12)
+	f.request(active, false)
+	for range 4 {
+		f.advance(200 * time.Millisecond)
+		f.request(other, false)
+		f.answer(other)
+		f.request(active, true)
+	}
+	assert.Equal(t, VerdictReset, f.request(idle, false).Verdict, "the upstream appears to have crashed")
+	f.advance(3 * time.Second)
+	assert.Equal(t, VerdictForward, f.request(idle, false).Verdict)
+	f.answer(idle)
+	assert.Equal(t, VerdictForward, f.request(active, false).Verdict, "it has answered")
+}
--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -12,6 +12,11 @@
 const (
 	crashMinUnacked  = 3
 	crashMinDuration = 350 * time.Millisecond
+	// crashRetryAfter is the age of the last unacknowledged packet from which it no
+	// longer shows a crash. Then one more packet is forwarded: links may have
+	// failed instead of the upstream, and while all its flows are reset, no answer
+	// can show that it is back.
+	crashRetryAfter = 2 * time.Second
 )
 
 // unackedRun is a run of consecutive unacknowledged packets.
@@ -31,13 +36,10 @@
 	s.last = now
 }
 
-// crashed reports whether the run shows that the upstream has crashed.
-func (s *unackedRun) crashed() bool { return s.lasts(crashMinUnacked) }
-
-// lasts reports whether the run has at least count packets and is not a burst of
-// losses at one moment.
-func (s *unackedRun) lasts(count int) bool {
-	return s.count >= count && s.last.Sub(s.first) >= crashMinDuration
+// crashed reports whether the run shows that the upstream has crashed: it has at
+// least minUnacked packets, is not a burst of losses at one moment, and is recent.
+func (s *unackedRun) crashed(now time.Time, minUnacked int) bool {
+	return s.count >= minUnacked && s.last.Sub(s.first) >= crashMinDuration && now.Sub(s.last) < crashRetryAfter
 }
 
 // A balancer counts as isolated from all upstreams after isolatedMinUnacked
--- a/core/bvtoken/removed.go
+++ b/core/bvtoken/removed.go
@@ -8,11 +8,6 @@
 	"balsamvane/core/bvflow"
 )
 
-// removedRetryAfter is how long the flows of a removed upstream that does not answer
-// are reset without another try. Then one packet is forwarded again, since the
-// links to the upstream may have failed meanwhile instead of the upstream.
-const removedRetryAfter = 2 * time.Second
-
 // removedMinUnacked is how many consecutive unacknowledged packets, over at least
 // crashMinDuration, show that a removed upstream has ended. It is lower than
 // crashMinUnacked, since the removal is evidence too.
@@ -36,7 +31,7 @@
 		r.removed[e.ID] = run
 	}
 	r.observeRemoved(now, k, e.ID, run, p)
-	if run.lasts(removedMinUnacked) && now.Sub(run.last) < removedRetryAfter {
+	if run.crashed(now, removedMinUnacked) {
 		r.dropRequest(k)
 		return r.resetFrom(e, p, ReasonUpstreamRemoved)
 	}
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -44,7 +44,7 @@
 		return forward(e, ReasonToken)
 	}
 	r.observe(now, k, t, p)
-	if route.Idempotent && r.crashed(t) {
+	if route.Idempotent && r.crashed(now, t) {
 		// The caller can repeat the request elsewhere, which is better than waiting
 		// until its deadline.
 		r.dropRequest(k)
@@ -81,8 +81,8 @@
 // acknowledge packets while others in its zone do. An upstream in another zone may
 // only be unreachable from this balancer, while other balancers can still serve the
 // flow.
-func (r *Router) crashed(t *target) bool {
-	return t.inZone && t.unacked.crashed() && t.zone.lastAnswer.After(t.unacked.first)
+func (r *Router) crashed(now time.Time, t *target) bool {
+	return t.inZone && t.unacked.crashed(now, crashMinUnacked) && t.zone.lastAnswer.After(t.unacked.first)
 }
 
 // catalogCurrent reports whether the catalog is recent enough to prove that
