--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -197,8 +197,28 @@
 	if restored {
 		c.graceEnd = now.Add(c.options.GracePeriod)
 	}
-	listed := make(map[bvconfig.UpstreamID]bool, len(cs))
-	zonesOut := map[string]bool{}
+	listed, zonesOut := c.applyListing(now, cs, restored)
+	if !c.revision.After(r) {
+		for id, e := range c.entries {
+			if !listed[id] && !e.removed && !e.missing && !e.revision.After(r) {
+				c.remove(now, e, r, restored)
+			}
+		}
+		c.replaceZones(zonesOut, restored)
+	}
+	c.revision = bvrevision.Latest(c.revision, r)
+	if !c.listed {
+		c.listed, c.firstListedAt, c.firstGraceEnd = true, now, now.Add(c.options.GracePeriod)
+	}
+	c.history.reset(c.revision)
+	c.commit()
+}
+
+// applyListing applies the entries of a listing, except for zones, which have no
+// revisions of their own. It returns the listed upstreams and the zones out of
+// service. restored is true for the first listing after a restore of the platform.
+func (c *Catalog) applyListing(now time.Time, cs []Change, restored bool) (listed map[bvconfig.UpstreamID]bool, zonesOut map[string]bool) {
+	listed, zonesOut = make(map[bvconfig.UpstreamID]bool, len(cs)), map[string]bool{}
 	for _, ch := range cs {
 		switch v := ch.(type) {
 		case UpstreamPut:
@@ -211,24 +231,11 @@
 			listed[v.ID] = true
 		case ZoneOutOfService:
 			zonesOut[v.Zone] = true
-			continue // Zones have no revisions of their own.
+			continue
 		}
 		c.change(now, ch)
 	}
-	if !c.revision.After(r) {
-		for id, e := range c.entries {
-			if !listed[id] && !e.removed && !e.missing && !e.revision.After(r) {
-				c.remove(now, e, r, restored)
-			}
-		}
-		c.replaceZones(zonesOut, restored)
-	}
-	c.revision = bvrevision.Latest(c.revision, r)
-	if !c.listed {
-		c.listed, c.firstListedAt, c.firstGraceEnd = true, now, now.Add(c.options.GracePeriod)
-	}
-	c.history.reset(c.revision)
-	c.commit()
+	return listed, zonesOut
 }
 
 // Apply applies changes in the order of their revisions, up to revision r. Changes
