core/bvtoken: reset a flow without a route only if the route was removed

Cause: a packet of an open flow whose address has no route in the catalog was answered with a reset if the platform had answered in the last 2.8 s. That age shows that the catalog is recent, not that nothing was added since the last answer: balancers read a change up to 600 ms after each other. A balancer with the new configuration opens the flow, the routers send its next packet to one that has not read it yet.

Balancer-3 had version 309 in force at 58.342 and placed the flow of port 31045 at 58.376. Balancer-4 got its next packet at 58.443 and reset it: reason noRoute, version 307, catalog age 271 ms. It had version 310 in force at 58.507. Ruled out: that the upstream had gone (the token was known, and the server held the flow), and that an older answer was applied (revisions only rise in the log).

Change: absence counts only against a catalog that is complete up to a time at which the flow was open, which is the arrival of its first packet here. Until then the packet goes to the upstream of its token (reason tokenUnreadRoute). A catalog is complete up to the time at which the call began that its last answer belongs to, since the answer itself may have been delayed. Answers of the relay carry that time as an offset from the arrival of the request. A flow of a dropped route is served for up to two waits of a watch before it is reset.

Related paths: the reset for an unknown token remembered the first packet of the token, not of the flow, so a token that was unknown long ago allowed a reset at once when the same ID came back; it took the arrival of an answer for the time of its state; and an eviction forgot all tokens. It now follows the same rule. Refusals of openings are as before: they end no open flow. Packets without a token (core/bvroute) are dropped, not reset.

Test changed: "route was removed" of TestRefusals wanted the reset with the first packet. A balancer can't know then whether the route was added again and the flow opened on it elsewhere. The case now wants the reset after the next confirmation, and a new one wants the first packet forwarded.

--- a/cmd/balsamvane/run.go
+++ b/cmd/balsamvane/run.go
@@ -107,17 +107,17 @@
 	metrics := bvadmin.NewMetrics()
 	calls := bvforwarder.CallCounter(metrics.Scope)
 	store := bvfollower.Source{Name: "store", Direct: true, Store: platform.NewStore(s.Platform.Addresses[0], clock, log, calls)}
-	follower := bvfollower.New(sources(s, store), clock, log, bvfollower.Options{
+	follower := bvfollower.New(sources(s, store, clock), clock, log, bvfollower.Options{
 		Seed:             uint64(bvconfig.NodeIDOf(s.Node)),
 		Self:             s.Listen.Control,
 		StoreFallbackAge: storeAge(s),
-		Peer:             func(a netip.AddrPort) bvfollower.Source { return peerSource(s, a) },
+		Peer:             func(a netip.AddrPort) bvfollower.Source { return peerSource(s, a, clock) },
 	})
 	return bvforwarder.New(s, clock, log, metrics, platform.Codec{}, follower, bvforwarder.Options{
 		ReadyPath: platform.ReadyPath,
 		Reload: bvforwarder.Reload{
 			Load:  func() (bvsettings.Settings, bvfinding.List) { return bvsettings.Load(path) },
-			Apply: func(s bvsettings.Settings) { follower.SetSources(sources(s, store)) },
+			Apply: func(s bvsettings.Settings) { follower.SetSources(sources(s, store, clock)) },
 		},
 	})
 }
@@ -138,19 +138,19 @@
 // seed then always admits it, even if it has as many followers as it accepts. It
 // would otherwise redirect this seed to its followers, which may themselves
 // follow this seed.
-func peerSource(s bvsettings.Settings, a netip.AddrPort) bvfollower.Source {
+func peerSource(s bvsettings.Settings, a netip.AddrPort, clock clockwork.Clock) bvfollower.Source {
 	self := bvfanout.Follower{Zone: s.Zone}
 	if !slices.Contains(s.Seeds, s.Listen.Control) {
 		self.Address = s.Listen.Control
 	}
-	return bvfollower.Source{Name: a.String(), Store: bvrelay.NewClient(a, self)}
+	return bvfollower.Source{Name: a.String(), Store: bvrelay.NewClient(a, self, clock)}
 }
 
 // sources returns the balancer's sources in order of preference. A seed reads
 // the store, and follows other seeds if the store does not answer. All other
 // balancers follow the seeds, each in an order of its own, and read the store
 // if no seed answers.
-func sources(s bvsettings.Settings, store bvfollower.Source) []bvfollower.Source {
+func sources(s bvsettings.Settings, store bvfollower.Source, clock clockwork.Clock) []bvfollower.Source {
 	var peerSources []bvfollower.Source
 	var candidates []bvpick.Candidate
 	isSeed := slices.Contains(s.Seeds, s.Listen.Control)
@@ -158,7 +158,7 @@
 		if a == s.Listen.Control {
 			continue
 		}
-		peerSources = append(peerSources, peerSource(s, a))
+		peerSources = append(peerSources, peerSource(s, a, clock))
 		candidates = append(candidates, bvpick.Balancer(bvconfig.NodeIDOf(a.String())))
 	}
 	key := bvflow.NewHasher(0).Key(bvflow.Tuple{Source: s.Listen.Fabric})
--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -77,6 +77,9 @@
 	revision   bvrevision.Revision
 	listed     bool      // A listing has been received.
 	lastAnswer time.Time // Last answer of the platform.
+	// completeAt is the latest time up to which the catalog certainly has all
+	// changes.
+	completeAt time.Time
 	graceEnd   time.Time // End of the grace period after the last outage.
 	// firstGraceEnd is the end of the grace period after the first listing. The
 	// platform may have been unreachable before that listing.
@@ -113,17 +116,26 @@
 // Age returns the time since the platform answered.
 func (c *Catalog) Age(now time.Time) time.Duration { return now.Sub(c.lastAnswer) }
 
-// Confirmed reports whether the platform has confirmed the catalog after t, at
-// a time at which no live upstream's entry was missing.
+// CompleteAt returns the latest time up to which the catalog certainly has all
+// changes, or the zero value if none is known.
+func (c *Catalog) CompleteAt() time.Time { return c.completeAt }
+
+// Confirmed reports whether the catalog certainly has all changes of the platform
+// up to some time after t at which no live upstream's entry was missing. What
+// existed at t and is not in the catalog was removed. The age of the catalog does
+// not show that: something may have been added since the last answer.
 func (c *Catalog) Confirmed(t time.Time) bool {
-	return c.GracePeriodOver() && c.lastAnswer.After(t)
+	return c.completeAt.After(t) && c.graceOver(c.completeAt)
 }
 
 // GracePeriodOver reports whether the platform has answered since the end of the
 // grace periods after the start and after the last outage. By then all live
 // upstreams had registered again, so an upstream without an entry was removed.
-func (c *Catalog) GracePeriodOver() bool {
-	return c.listed && !c.lastAnswer.Before(c.graceEnd) && !c.lastAnswer.Before(c.firstGraceEnd)
+func (c *Catalog) GracePeriodOver() bool { return c.graceOver(c.lastAnswer) }
+
+// graceOver reports whether the grace periods had ended at a time.
+func (c *Catalog) graceOver(at time.Time) bool {
+	return c.listed && !at.Before(c.graceEnd) && !at.Before(c.firstGraceEnd)
 }
 
 // KnowsRemoved reports whether the catalog has all upstreams that were removed within
@@ -185,6 +197,16 @@
 	c.lastAnswer = at
 }
 
+// RecordComplete records that the state of revision r has all changes that the
+// platform had accepted by the time at; the zero value of at records nothing. A time
+// at which the platform was asked qualifies, the arrival of its answer does not: the
+// answer may have been delayed. It is called once that state has been applied.
+func (c *Catalog) RecordComplete(r bvrevision.Revision, at time.Time) {
+	if r.Era == c.revision.Era && !r.After(c.revision) && at.After(c.completeAt) {
+		c.completeAt = at
+	}
+}
+
 // Replace applies a listing of all entries. Entries that it lacks are removed,
 // except for those changed after its revision. A listing of an earlier era is
 // ignored.
--- a/core/bvcatalog/catalog_test.go
+++ b/core/bvcatalog/catalog_test.go
@@ -206,18 +206,47 @@
 // is missing, right after a start or an outage.
 func TestConfirmed(t *testing.T) {
 	c := newListed(Options{})
-	c.RecordAnswer(at(2*time.Second), 0)
+	answer := func(after time.Duration) {
+		c.RecordAnswer(at(after), 0)
+		c.RecordComplete(c.Revision(), at(after))
+	}
+	answer(2 * time.Second)
 	assert.False(t, c.Confirmed(at(time.Second)), "right after the start")
-	c.RecordAnswer(at(3*time.Second), 0)
+	answer(3 * time.Second)
 	assert.True(t, c.Confirmed(at(time.Second)))
 	assert.False(t, c.Confirmed(at(3*time.Second)))
-	c.RecordAnswer(at(10*time.Second), 0)
+	answer(10 * time.Second)
 	assert.False(t, c.Confirmed(at(time.Second)), "right after an outage")
-	c.RecordAnswer(at(12*time.Second), 0)
-	c.RecordAnswer(at(13*time.Second), 0)
+	answer(12 * time.Second)
+	answer(13 * time.Second)
 	assert.True(t, c.Confirmed(at(time.Second)))
 }
 
+// TestRecordComplete guards against a catalog that counts as complete up to a time
+// although changes from before that time may be missing.
+func TestRecordComplete(t *testing.T) {
+	c := newListed(Options{})
+	for s := range 6 {
+		c.RecordAnswer(at(time.Duration(s)*time.Second), 0)
+	}
+	require.Zero(t, c.CompleteAt(), "an answer may have been delayed")
+	c.RecordComplete(c.Revision(), time.Time{})
+	require.Zero(t, c.CompleteAt(), "the source knows no time")
+	later := c.Revision()
+	later.Number++
+	c.RecordComplete(later, at(5*time.Second))
+	require.Zero(t, c.CompleteAt(), "a state that was not applied")
+	later.Era++
+	c.RecordComplete(later, at(5*time.Second))
+	require.Zero(t, c.CompleteAt(), "a state of another era")
+	c.RecordComplete(c.Revision(), at(4*time.Second))
+	require.Equal(t, at(4*time.Second), c.CompleteAt())
+	c.RecordComplete(c.Revision(), at(3*time.Second))
+	require.Equal(t, at(4*time.Second), c.CompleteAt(), "an earlier call")
+	assert.False(t, c.Confirmed(at(4*time.Second)))
+	assert.True(t, c.Confirmed(at(3900*time.Millisecond)))
+}
+
 // TestZones guards against a zone that stays out of service or returns to service
 // too early.
 func TestZones(t *testing.T) {
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -87,8 +87,8 @@
 	Zone string
 	// Seed is the seed of the flow hash.
 	Seed uint64
-	// MaxStaleness is the age of the catalog up to which the absence of a route
-	// or upstream proves that it does not exist. 2.8 s.
+	// MaxStaleness is the age of the catalog up to which a new flow is refused if
+	// the catalog has no route for it. 2.8 s.
 	MaxStaleness time.Duration
 	// AnswerTimeout is how long a caller waits for the answer to an opening.
 	// 1.4 s.
@@ -96,8 +96,9 @@
 	// RequestTimeout is how long a request counts as open without an answer.
 	// 3 s.
 	RequestTimeout time.Duration
-	// MaxPending bounds each of three tables of unanswered packets: openings of
-	// known callers, openings of other callers, and requests. 4,096 each.
+	// MaxPending bounds each of four tables: openings of known callers, openings of
+	// other callers, requests, and open flows without a route or upstream in the
+	// catalog. 4,096 each.
 	MaxPending int
 	// ColdBalancers is the number of balancers that share the budget of a cold
 	// upstream; 0 if this one places no flows there.
@@ -158,7 +159,7 @@
 	handshake      handshakeTime
 	incompleteRuns incompleteRuns
 	recent         recentOpenings
-	unknownTokens  map[bvcatalog.Token]time.Time // When a token without an upstream was first seen.
+	unresolved     unresolvedFlows
 	removed        removedUpstreams
 	reachability   reachability
 	// compared counts the upstreams that were compared for new flows. It measures
@@ -176,7 +177,7 @@
 		limiter: bvlimit.New(bvlimit.Options{EjectFraction: 1}),
 		hasher:  bvflow.NewHasher(o.Seed),
 		targets: map[bvconfig.UpstreamID]*target{}, services: map[string]*serviceTargets{},
-		unknownTokens: map[bvcatalog.Token]time.Time{}, zones: map[string]*zoneHealth{},
+		unresolved: newUnresolvedFlows(o.MaxPending), zones: map[string]*zoneHealth{},
 		removed: removedUpstreams{},
 		pending: newOpenings(o.MaxPending), requests: newRequests(o.MaxPending),
 	}
--- a/core/bvtoken/fixture_test.go
+++ b/core/bvtoken/fixture_test.go
@@ -100,6 +100,7 @@
 		step := min(d, time.Second)
 		f.now = f.now.Add(step)
 		f.catalog.RecordAnswer(f.now, 0)
+		f.catalog.RecordComplete(f.catalog.Revision(), f.now)
 		f.catalog.Tick(f.now)
 		d -= step
 	}
--- a/core/bvtoken/reason.go
+++ b/core/bvtoken/reason.go
@@ -5,28 +5,29 @@
 
 // The reasons for decisions.
 const (
-	ReasonPlaced          Reason = iota // Opening placed on the preferred upstream.
-	ReasonPlacedFarther                 // Opening placed in another zone.
-	ReasonPlacedAgain                   // Repeated opening placed on another upstream.
-	ReasonPlacedSilent                  // Opening placed on an ejected upstream, since no other is usable.
-	ReasonToken                         // Forwarded to the upstream of the packet's token.
-	ReasonIncomplete                    // The catalog is not complete yet.
-	ReasonNoRoute                       // No route for the address.
-	ReasonNoUpstream                    // No upstream can take the flow.
-	ReasonBusy                          // All upstreams registered so far are busy.
-	ReasonColdBudget                    // All upstreams are cold and this balancer's share of their budget is used up.
-	ReasonUnknownToken                  // No upstream for the token.
-	ReasonNoToken                       // Packet of an open flow without a token.
-	ReasonUpstreamRemoved               // The upstream was removed.
-	ReasonUpstreamSilent                // The upstream does not acknowledge packets, while others do.
-	ReasonUnreadable                    // The upstream's entry cannot be decoded, so its address is unknown.
-	ReasonMalformed                     // The packet cannot be decoded.
-	ReasonInternal                      // The decision panicked.
+	ReasonPlaced           Reason = iota // Opening placed on the preferred upstream.
+	ReasonPlacedFarther                  // Opening placed in another zone.
+	ReasonPlacedAgain                    // Repeated opening placed on another upstream.
+	ReasonPlacedSilent                   // Opening placed on an ejected upstream, since no other is usable.
+	ReasonToken                          // Forwarded to the upstream of the packet's token.
+	ReasonTokenUnreadRoute               // The same, though the catalog has no route for the address yet.
+	ReasonIncomplete                     // The catalog is not complete yet.
+	ReasonNoRoute                        // No route for the address.
+	ReasonNoUpstream                     // No upstream can take the flow.
+	ReasonBusy                           // All upstreams registered so far are busy.
+	ReasonColdBudget                     // All upstreams are cold and this balancer's share of their budget is used up.
+	ReasonUnknownToken                   // No upstream for the token.
+	ReasonNoToken                        // Packet of an open flow without a token.
+	ReasonUpstreamRemoved                // The upstream was removed.
+	ReasonUpstreamSilent                 // The upstream does not acknowledge packets, while others do.
+	ReasonUnreadable                     // The upstream's entry cannot be decoded, so its address is unknown.
+	ReasonMalformed                      // The packet cannot be decoded.
+	ReasonInternal                       // The decision panicked.
 	numReasons
 )
 
 var reasonNames = [numReasons]string{
-	"placed", "placedFarther", "placedAgain", "placedSilent", "token", "incomplete", "noRoute", "noUpstream",
+	"placed", "placedFarther", "placedAgain", "placedSilent", "token", "tokenUnreadRoute", "incomplete", "noRoute", "noUpstream",
 	"busy", "coldBudget", "unknownToken", "noToken", "upstreamGone", "upstreamSilent", "unreadable", "malformed", "internal",
 }
 
@@ -53,6 +54,7 @@
 	"the caller repeated its opening, so it was placed on another upstream",
 	"no upstream had answered openings recently, and this one was tried as a last resort",
 	"the token in the packet names the upstream",
+	"the token in the packet names the upstream, and a configuration that this balancer had not read may have added the route",
 	"the balancer had not read the store yet",
 	"no route existed for the address",
 	"the service had no upstream that accepts new flows",
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -25,13 +25,16 @@
 	if p.Token == 0 {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonNoToken}
 	}
-	route, ok := r.catalog.Route(p.Destination)
-	if !ok && r.catalogCurrent(now) {
+	route, routed := r.catalog.Route(p.Destination)
+	e := r.catalog.ByToken(p.Token)
+	if routed && e != nil {
+		r.unresolved.remove(k)
+	}
+	if !routed && r.confirmedAbsent(now, k) {
 		return r.reset(p, ReasonNoRoute)
 	}
-	e := r.catalog.ByToken(p.Token)
 	if e == nil {
-		return r.routeUnknownToken(now, p)
+		return r.routeUnknownToken(now, k, p)
 	}
 	if !e.Address.IsValid() {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonUnreadable}
@@ -39,9 +42,13 @@
 	if e.Removed() {
 		return r.routeRemoved(now, k, e, p)
 	}
+	reason := ReasonToken
+	if !routed {
+		reason = ReasonTokenUnreadRoute
+	}
 	t := r.targets[e.ID]
 	if t == nil { // An upstream without a service has no measurements.
-		return forward(e, ReasonToken)
+		return forward(e, reason)
 	}
 	r.observe(now, k, t, p)
 	if route.Idempotent && r.crashed(now, t) {
@@ -50,7 +57,7 @@
 		r.dropRequest(k)
 		return r.resetFrom(e, p, ReasonUpstreamSilent)
 	}
-	return forward(e, ReasonToken)
+	return forward(e, reason)
 }
 
 // routeUnknownToken decides on a packet whose token belongs to no upstream.
@@ -58,24 +65,21 @@
 // have been removed before this balancer started although the upstream still
 // serves its flows. If the platform confirms later that there is no such upstream,
 // and it was not removed recently, the flow has ended.
-func (r *Router) routeUnknownToken(now time.Time, p Packet) Decision {
-	first, ok := r.unknownTokens[p.Token]
-	if !ok {
-		if len(r.unknownTokens) >= maxUnknownTokens {
-			clear(r.unknownTokens)
-		}
-		r.unknownTokens[p.Token] = now
-		return Decision{Verdict: VerdictDrop, Reason: ReasonUnknownToken}
-	}
-	if !r.catalog.KnowsRemoved(now) || !r.catalog.Confirmed(first) || !r.catalogCurrent(now) {
+func (r *Router) routeUnknownToken(now time.Time, k bvflow.Key, p Packet) Decision {
+	if !r.confirmedAbsent(now, k) || !r.catalog.KnowsRemoved(now) {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonUnknownToken}
 	}
 	return r.reset(p, ReasonUnknownToken)
 }
 
-// maxUnknownTokens bounds the unknown tokens that are kept. Callers can make up
-// any number of them.
-const maxUnknownTokens = 1024
+// confirmedAbsent reports whether the route or upstream of an open flow, which the
+// catalog lacks, was removed. Another balancer may have opened the flow with a newer
+// catalog, so that takes a catalog that is complete up to a time at which the flow
+// was open: the arrival of its first packet here.
+func (r *Router) confirmedAbsent(now time.Time, k bvflow.Key) bool {
+	first := r.unresolved.firstSeen(now, k)
+	return r.catalog.Complete() && r.catalog.Confirmed(first)
+}
 
 // crashed reports whether an upstream appears to have crashed: it does not
 // acknowledge packets while others in its zone do. An upstream in another zone may
@@ -85,8 +89,9 @@
 	return t.inZone && t.unacked.crashed(now, crashMinUnacked) && t.zone.lastAnswer.After(t.unacked.first)
 }
 
-// catalogCurrent reports whether the catalog is recent enough to prove that
-// something does not exist.
+// catalogCurrent reports whether the catalog is recent enough to refuse a new flow
+// for what the catalog lacks. It does not show that an open flow has ended; see
+// confirmedAbsent.
 func (r *Router) catalogCurrent(now time.Time) bool {
 	return r.catalog.Complete() && r.catalog.Age(now) <= r.options.MaxStaleness
 }
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -100,8 +100,15 @@
 		{"route was removed", nil, func(f *fixture) Decision {
 			x := f.connect(feeds)
 			f.apply(bvcatalog.Configuration{Version: 2})
+			f.request(x, false)
+			f.advance(time.Millisecond)
 			return f.request(x, false)
 		}, VerdictReset, ReasonNoRoute},
+		{"route was removed, and may have been added again", nil, func(f *fixture) Decision {
+			x := f.connect(feeds)
+			f.apply(bvcatalog.Configuration{Version: 2})
+			return f.request(x, false)
+		}, VerdictForward, ReasonTokenUnreadRoute},
 		{"unknown token", nil, func(f *fixture) Decision {
 			x := f.connect(feeds)
 			x.token = 999
@@ -160,10 +167,16 @@
 		assert.Equal(t, VerdictDrop, f.request(unreadable, false).Verdict, "the upstream may be alive")
 		f.advance(time.Second)
 	}
-	for i := range 3 * maxUnknownTokens {
+	for i := range 10_000 {
 		f.request(flowAt(bvconfig.UpstreamID(1000+i)), false)
 	}
-	assert.LessOrEqual(t, len(f.router.unknownTokens), maxUnknownTokens)
+	assert.LessOrEqual(t, len(f.router.unresolved.first), f.router.options.MaxPending)
+
+	earlier, later := flowAt(34), flowAt(34)
+	f.request(earlier, false)
+	f.advance(time.Second)
+	assert.Equal(t, VerdictReset, f.request(earlier, true).Verdict)
+	assert.Equal(t, VerdictDrop, f.request(later, false).Verdict, "its upstream may have been added since")
 }
 
 // TestResetSequence guards against resets that the caller ignores. A reset must
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -70,8 +70,12 @@
 type Listing struct {
 	Revision bvrevision.Revision
 	Changes  []bvcatalog.Change
-	// Age is the time since the store confirmed that this is complete.
+	// Age is the time since the store confirmed that this is complete. It does not
+	// include the delay of the answer.
 	Age time.Duration
+	// CompleteAt is a time by which the store had accepted no change that is missing
+	// here, whatever delayed the answer; the zero value if none is known.
+	CompleteAt time.Time
 	// Path holds the control addresses of the balancers that forwarded this, that
 	// of the source last; it is empty if the source is the store.
 	Path []netip.AddrPort
--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -106,7 +106,9 @@
 	case <-ctx.Done():
 	case <-time.After(5 * time.Millisecond):
 	}
-	return bvfollower.Listing{Revision: after.Revision}, ctx.Err()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bvfollower.Listing{Revision: after.Revision, CompleteAt: s.listing.CompleteAt}, ctx.Err()
 }
 
 func (s *fakeStore) Disconnect() {}
@@ -322,7 +324,7 @@
 func TestRelay(t *testing.T) {
 	f := newFixture(t, Options{})
 	f.store.set(f.listing(), nil)
-	c := bvrelay.NewClient(portOf(f.forwarder.control), bvfanout.Follower{})
+	c := bvrelay.NewClient(portOf(f.forwarder.control), bvfanout.Follower{}, clockwork.NewRealClock())
 	f.eventually(func() bool {
 		l, err := c.List(context.Background(), func() {})
 		return err == nil && len(l.Changes) == 2 && l.Revision == rev(5)
@@ -330,6 +332,13 @@
 	l, err := c.Watch(context.Background(), bvfollower.Position{Revision: rev(5)}, 0)
 	require.NoError(t, err)
 	assert.Less(t, l.Age, 10*time.Second)
+	assert.Zero(t, l.CompleteAt, "the store of the fixture does not tell it")
+	asked := time.Now()
+	f.store.set(bvfollower.Listing{Revision: rev(5), CompleteAt: asked}, nil)
+	f.eventually(func() bool {
+		l, err := c.Watch(context.Background(), bvfollower.Position{Revision: rev(5)}, 0)
+		return err == nil && !l.CompleteAt.IsZero() && !l.CompleteAt.After(asked)
+	})
 }
 
 // TestReload guards against faulty settings that are applied, and against new
--- a/io/bvforwarder/loop.go
+++ b/io/bvforwarder/loop.go
@@ -68,7 +68,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	l.decide(now)
-	return catalogState{age: w.catalog.Age(now), revision: w.catalog.Revision(), version: w.catalog.Version()}
+	return catalogState{
+		age: w.catalog.Age(now), completeAge: now.Sub(w.catalog.CompleteAt()), revision: w.catalog.Revision(), version: w.catalog.Version(),
+	}
 }
 
 // decide decides on the batch, its openings last: after a pause of this process,
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -34,6 +34,7 @@
 			w.counters.changeLag.RecordDuration(l.Age)
 		}
 	}
+	w.recordComplete(e)
 	close(w.catalogChanged)
 	w.catalogChanged = make(chan struct{})
 	w.signalComplete()
@@ -42,6 +43,17 @@
 	}
 }
 
+// recordComplete records up to which time an event that was applied makes the
+// catalog complete. The caller holds mu.
+func (w *Forwarder) recordComplete(e bvfollower.Event) {
+	switch v := e.(type) {
+	case bvfollower.Listed:
+		w.catalog.RecordComplete(v.Listing.Revision, v.Listing.CompleteAt)
+	case bvfollower.Changed:
+		w.catalog.RecordComplete(v.Listing.Revision, v.Listing.CompleteAt)
+	}
+}
+
 // logRestore logs that the store was restored from a copy, if the revision of the
 // catalog shows it. The caller holds mu.
 func (w *Forwarder) logRestore(before bvrevision.Revision, wasComplete bool) {
--- a/io/bvrelay/bench_test.go
+++ b/io/bvrelay/bench_test.go
@@ -59,7 +59,7 @@
 			server := NewServer(p, bvfanout.New(bvfanout.Options{Zone: "zone-a"}), clockwork.NewRealClock(), time.Second)
 			go func() { done <- server.Serve(ctx, metered) }()
 			address := l.Addr().(*net.TCPAddr).AddrPort()
-			client := NewClient(address, bvfanout.Follower{Address: address, Zone: "zone-a"})
+			client := NewClient(address, bvfanout.Follower{Address: address, Zone: "zone-a"}, clockwork.NewRealClock())
 			b.ReportAllocs()
 			for b.Loop() {
 				_, err := client.Watch(ctx, bvfollower.Position{Revision: after}, 0)
--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -12,11 +12,12 @@
 //
 //	server := bvrelay.NewServer(provider, fanout, clock, bvsource.DefaultMaxAge)
 //	go server.Serve(ctx, listener)
-//	source := bvfollower.Source{Name: "peer", Store: bvrelay.NewClient(address, self)}
+//	source := bvfollower.Source{Name: "peer", Store: bvrelay.NewClient(address, self, clock)}
 package bvrelay
 
 import (
 	"errors"
+	"math"
 	"net/netip"
 	"time"
 
@@ -59,6 +60,9 @@
 	maxRedirectTargets = 16
 	// maxZoneBytes limits the length of a zone's name.
 	maxZoneBytes = 256
+	// maxCompleteOffset limits how far from the request the time is up to which a
+	// state is complete. Any other time counts as unknown.
+	maxCompleteOffset = time.Hour
 )
 
 // validate returns ErrOutOfBounds for an answer that no balancer sends.
@@ -101,6 +105,10 @@
 	Others [][]byte `cbor:"4,keyasint,omitempty"`
 	Path   [][]byte `cbor:"5,keyasint,omitempty"`
 	Era    uint64   `cbor:"6,keyasint,omitempty"` // Era of all revisions in the answer.
+	// Complete is the time in milliseconds from the arrival of the request to the
+	// time up to which the state is complete; negative if that was before. It is
+	// absent if no such time is known, as in answers of earlier versions.
+	Complete *int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // wireChange is a change; exactly one field is set.
@@ -169,15 +177,42 @@
 	Problem  string
 }
 
-func encode(l bvfollower.Listing) *watchAnswer {
+// encode returns the wire form of a listing in the answer to a request that arrived
+// at the time asked.
+func encode(l bvfollower.Listing, asked time.Time) *watchAnswer {
 	era := l.Revision.Era
-	out := &watchAnswer{Revision: l.Revision.Number, Era: era, Age: milliseconds(l.Age), Path: encodeAddresses(l.Path)}
+	out := &watchAnswer{
+		Revision: l.Revision.Number, Era: era, Age: milliseconds(l.Age), Path: encodeAddresses(l.Path),
+		Complete: encodeComplete(l.CompleteAt, asked),
+	}
 	for _, c := range l.Changes {
 		out.Changes = append(out.Changes, encodeChange(c, era))
 	}
 	return out
 }
 
+// encodeComplete returns the time from asked to completeAt in milliseconds, rounded
+// down, or nil if completeAt is unknown or out of bounds.
+func encodeComplete(completeAt, asked time.Time) *int64 {
+	offset := completeAt.Sub(asked)
+	if completeAt.IsZero() || offset.Abs() >= maxCompleteOffset {
+		return nil
+	}
+	ms := int64(math.Floor(float64(offset) / float64(time.Millisecond)))
+	return &ms
+}
+
+// completeAt returns the time up to which the state of an answer is complete, or the
+// zero value if it is unknown. The request was sent at the time asked and arrived
+// later, so the time is not too late whatever delayed the request or the answer.
+func (w *watchAnswer) completeAt(asked time.Time) time.Time {
+	limit := maxCompleteOffset.Milliseconds()
+	if w.Complete == nil || *w.Complete < -limit || *w.Complete > limit {
+		return time.Time{}
+	}
+	return asked.Add(time.Duration(*w.Complete) * time.Millisecond)
+}
+
 func encodeRedirect(others []netip.AddrPort) *watchAnswer {
 	return &watchAnswer{Others: encodeAddresses(others)}
 }
@@ -242,12 +277,16 @@
 	return w
 }
 
-func (w *watchAnswer) decode() (bvfollower.Listing, error) {
+// decode returns the listing of an answer to a request that was sent at the time
+// asked.
+func (w *watchAnswer) decode(asked time.Time) (bvfollower.Listing, error) {
 	path, err := decodeAddresses(w.Path)
 	if err != nil {
 		return bvfollower.Listing{}, err
 	}
-	out := bvfollower.Listing{Revision: bvrevision.Revision{Era: w.Era, Number: w.Revision}, Age: duration(w.Age), Path: path}
+	out := bvfollower.Listing{
+		Revision: bvrevision.Revision{Era: w.Era, Number: w.Revision}, Age: duration(w.Age), Path: path, CompleteAt: w.completeAt(asked),
+	}
 	for _, x := range w.Changes {
 		c, err := x.decode(w.Era)
 		if err != nil {
--- a/io/bvrelay/bvrelay_test.go
+++ b/io/bvrelay/bvrelay_test.go
@@ -36,14 +36,18 @@
 func (p *fakeProvider) All() (bvfollower.Listing, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return bvfollower.Listing{Revision: p.catalog.Revision(), Age: p.age, Changes: p.catalog.All(time.Unix(0, 0))}, p.catalog.Complete()
+	return p.listing(p.catalog.All(time.Unix(0, 0))), p.catalog.Complete()
 }
 
 func (p *fakeProvider) Since(after bvrevision.Revision) (bvfollower.Listing, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cs, ok := p.catalog.Since(after)
-	return bvfollower.Listing{Revision: p.catalog.Revision(), Age: p.age, Changes: cs}, ok
+	return p.listing(cs), ok
+}
+
+func (p *fakeProvider) listing(cs []bvcatalog.Change) bvfollower.Listing {
+	return bvfollower.Listing{Revision: p.catalog.Revision(), Age: p.age, CompleteAt: p.catalog.CompleteAt(), Changes: cs}
 }
 
 func (p *fakeProvider) Changed() <-chan struct{} {
@@ -63,6 +67,9 @@
 // rev returns a revision of era 1.
 func rev(number int64) bvrevision.Revision { return bvrevision.Revision{Era: 1, Number: number} }
 
+// asked is the time of the request whose answer a test encodes.
+var asked = time.Unix(1_700_000_000, 0)
+
 var allChanges = []bvcatalog.Change{
 	bvcatalog.Configuration{
 		Version: 4,
@@ -87,18 +94,84 @@
 func TestCodec(t *testing.T) {
 	c := bvcodec.New()
 	l := bvfollower.Listing{
-		Revision: rev(7), Age: 1200 * time.Millisecond, Changes: allChanges,
+		Revision: rev(7), Age: 1200 * time.Millisecond, CompleteAt: asked.Add(-1300 * time.Millisecond), Changes: allChanges,
 		Path: []netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:6082"), netip.MustParseAddrPort("[2001:db8::2]:6082")},
 	}
-	b, err := c.Marshal(encode(l))
+	b, err := c.Marshal(encode(l, asked))
 	require.NoError(t, err)
 	var a watchAnswer
 	require.NoError(t, c.Unmarshal(b, &a))
-	got, err := a.decode()
+	got, err := a.decode(asked)
 	require.NoError(t, err)
 	assert.Equal(t, l, got)
 }
 
+// TestCompleteAt guards against an answer that makes the follower's catalog complete
+// up to a later time than the source's, or up to a time that the source does not know.
+func TestCompleteAt(t *testing.T) {
+	tests := []struct {
+		name       string
+		completeAt time.Time // At the source, whose request arrives at the time asked.
+		want       time.Time // At the follower, which sent the request at the time asked.
+	}{
+		{"unknown", time.Time{}, time.Time{}},
+		{"before the request", asked.Add(-1500 * time.Millisecond), asked.Add(-1500 * time.Millisecond)},
+		{"while the request waits", asked.Add(700 * time.Millisecond), asked.Add(700 * time.Millisecond)},
+		{"rounded down", asked.Add(-1500*time.Millisecond - time.Nanosecond), asked.Add(-1501 * time.Millisecond)},
+		{"rounded down while the request waits", asked.Add(time.Millisecond - time.Nanosecond), asked},
+		{"long ago", asked.Add(-2 * time.Hour), time.Time{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := encode(bvfollower.Listing{CompleteAt: tt.completeAt}, asked).decode(asked)
+			require.NoError(t, err)
+			assert.True(t, tt.want.Equal(l.CompleteAt), "%s instead of %s", l.CompleteAt, tt.want)
+		})
+	}
+	for _, offset := range []int64{-1 << 63, 1<<63 - 1, 3_600_001} {
+		l, err := (&watchAnswer{Complete: &offset}).decode(asked)
+		require.NoError(t, err)
+		assert.Zero(t, l.CompleteAt, "%d ms from the request", offset)
+	}
+}
+
+// TestCompleteAtOfDelayedAnswer guards against a follower whose catalog counts as
+// complete up to the arrival of an answer that was delayed on its way.
+func TestCompleteAtOfDelayedAnswer(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	clock := clockwork.NewFakeClockAt(asked)
+	p := newFakeProvider()
+	p.catalog.Replace(asked, 0, rev(7), allChanges[:1])
+	p.catalog.RecordComplete(rev(7), asked.Add(-300*time.Millisecond))
+	c := startClient(t, delayedProvider{p, clock}, clock)
+	l, err := c.Watch(ctx, bvfollower.Position{Revision: rev(7)}, 0)
+	require.NoError(t, err)
+	assert.Equal(t, asked.Add(-300*time.Millisecond), l.CompleteAt)
+	l, err = c.List(ctx, func() {})
+	require.NoError(t, err)
+	assert.Equal(t, asked.Add(-300*time.Millisecond), l.CompleteAt)
+}
+
+// delayedProvider is a provider whose answers arrive two seconds after they are
+// given.
+type delayedProvider struct {
+	*fakeProvider
+	clock *clockwork.FakeClock
+}
+
+func (p delayedProvider) All() (bvfollower.Listing, bool) {
+	l, ok := p.fakeProvider.All()
+	p.clock.Advance(2 * time.Second)
+	return l, ok
+}
+
+func (p delayedProvider) Since(after bvrevision.Revision) (bvfollower.Listing, bool) {
+	l, ok := p.fakeProvider.Since(after)
+	p.clock.Advance(2 * time.Second)
+	return l, ok
+}
+
 // TestMalformed guards against malformed changes that are accepted.
 func TestMalformed(t *testing.T) {
 	address := []byte{192, 0, 2, 1, 0, 80}
@@ -109,14 +182,14 @@
 		"route without service":    {Configuration: &wireConfiguration{Version: 1, Routes: []wireRoute{{Address: address}}}},
 		"route without address":    {Configuration: &wireConfiguration{Version: 1, Routes: []wireRoute{{Backends: []wireBackend{{Service: "desk", Weight: 1}}}}}},
 	} {
-		_, err := (&watchAnswer{Changes: []wireChange{w}}).decode()
+		_, err := (&watchAnswer{Changes: []wireChange{w}}).decode(asked)
 		assert.ErrorIs(t, err, ErrMalformedChange, name)
 	}
 }
 
 // startClient starts a server on the loopback network and returns a client of it.
 func startClient(t *testing.T, p Provider, clock clockwork.Clock) *Client {
-	return NewClient(startServer(t, p, clock, bvfanout.Options{}), bvfanout.Follower{})
+	return NewClient(startServer(t, p, clock, bvfanout.Options{}), bvfanout.Follower{}, clock)
 }
 
 // startServer starts a server on the loopback network, with the fanout options o,
@@ -213,7 +286,7 @@
 	put := allChanges[3].(bvcatalog.UpstreamPut)
 	put.Revision = rev(90)
 	revision := bvrevision.Revision{Era: 2, Number: 3}
-	l, err := encode(bvfollower.Listing{Revision: revision, Changes: []bvcatalog.Change{put}}).decode()
+	l, err := encode(bvfollower.Listing{Revision: revision, Changes: []bvcatalog.Change{put}}, asked).decode(asked)
 	require.NoError(t, err)
 	assert.False(t, l.Changes[0].(bvcatalog.UpstreamPut).Revision.After(revision))
 }
@@ -282,7 +355,7 @@
 	p.catalog.Replace(time.Unix(0, 0), 0, rev(7), allChanges[:1])
 	server := startServer(t, p, clockwork.NewRealClock(), bvfanout.Options{Zone: "a", MaxPerOtherZone: 1})
 	client := func(address string) *Client {
-		return NewClient(server, bvfanout.Follower{Address: netip.MustParseAddrPort(address), Zone: "b"})
+		return NewClient(server, bvfanout.Follower{Address: netip.MustParseAddrPort(address), Zone: "b"}, clockwork.NewRealClock())
 	}
 	first, second := client("192.0.2.1:6082"), client("192.0.2.2:6082")
 	position := bvfollower.Position{Revision: rev(7)}
@@ -303,7 +376,7 @@
 // FuzzAnswer guards against panics on any bytes that a peer sends.
 func FuzzAnswer(f *testing.F) {
 	c := bvcodec.New()
-	b, err := c.Marshal(encode(bvfollower.Listing{Revision: rev(7), Changes: allChanges}))
+	b, err := c.Marshal(encode(bvfollower.Listing{Revision: rev(7), Changes: allChanges}, asked))
 	require.NoError(f, err)
 	f.Add(b)
 	f.Add(b[:len(b)/2])
@@ -313,12 +386,12 @@
 		if err := c.Unmarshal(b, &a); err != nil {
 			return
 		}
-		l, err := a.decode()
+		l, err := a.decode(asked)
 		if err != nil {
 			return
 		}
 		// A decoded answer can be relayed.
-		again, err := encode(l).decode()
+		again, err := encode(l, asked).decode(asked)
 		require.NoError(t, err)
 		require.Equal(t, l, again)
 	})
@@ -337,12 +410,12 @@
 		}})
 	}
 	p.catalog.Replace(time.Unix(0, 0), 0, rev(140_000), cs)
-	b, err := bvcodec.New().Marshal(encode(bvfollower.Listing{Revision: rev(140_000), Changes: p.catalog.All(time.Unix(0, 0))}))
+	b, err := bvcodec.New().Marshal(encode(bvfollower.Listing{Revision: rev(140_000), Changes: p.catalog.All(time.Unix(0, 0))}, asked))
 	require.NoError(t, err)
 	require.Less(t, len(b), maxAnswerBytes)
 	var a watchAnswer
 	require.NoError(t, bvcodec.New().Unmarshal(b, &a))
-	l, err := a.decode()
+	l, err := a.decode(asked)
 	require.NoError(t, err)
 	require.Len(t, l.Changes, 140_000)
 }
--- a/io/bvrelay/client.go
+++ b/io/bvrelay/client.go
@@ -12,6 +12,7 @@
 	"balsamvane/io/bvfollower"
 
 	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 )
 
@@ -28,6 +29,7 @@
 // Client follows one balancer. It implements [bvfollower.Store].
 type Client struct {
 	self      bvfanout.Follower
+	clock     clockwork.Clock
 	transport *http.Transport
 	list      *connect.Client[watchRequest, watchAnswer]
 	watch     *connect.Client[watchRequest, watchAnswer] // Without compression: its headers take more bytes than it saves.
@@ -35,7 +37,7 @@
 
 // NewClient returns a client of the balancer with the given control address. self
 // is the follower.
-func NewClient(control netip.AddrPort, self bvfanout.Follower) *Client {
+func NewClient(control netip.AddrPort, self bvfanout.Follower, clock clockwork.Clock) *Client {
 	t := &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost:    2,
@@ -44,7 +46,7 @@
 	h, url := &http.Client{Transport: t}, "http://"+control.String()+procedureWatch
 	options := []connect.ClientOption{connect.WithCodec(bvcodec.New()), connect.WithReadMaxBytes(maxAnswerBytes)}
 	return &Client{
-		self: self, transport: t,
+		self: self, clock: clock, transport: t,
 		list:  connect.NewClient[watchRequest, watchAnswer](h, url, options...),
 		watch: connect.NewClient[watchRequest, watchAnswer](h, url, append(options, connect.WithAcceptCompression("gzip", nil, nil))...),
 	}
@@ -54,7 +56,7 @@
 func (c *Client) List(ctx context.Context, _ func()) (bvfollower.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	return call(ctx, c.list, &watchRequest{List: true})
+	return c.call(ctx, c.list, &watchRequest{List: true})
 }
 
 // Watch waits for changes after a revision, at most for wait.
@@ -65,13 +67,14 @@
 	if c.self.Address.IsValid() {
 		q.Address = encodeAddress(c.self.Address)
 	}
-	return call(ctx, c.watch, q)
+	return c.call(ctx, c.watch, q)
 }
 
-func call(ctx context.Context, c *connect.Client[watchRequest, watchAnswer], q *watchRequest) (bvfollower.Listing, error) {
+func (c *Client) call(ctx context.Context, procedure *connect.Client[watchRequest, watchAnswer], q *watchRequest) (bvfollower.Listing, error) {
 	r := connect.NewRequest(q)
 	r.Header().Set("User-Agent", userAgent)
-	a, err := c.CallUnary(ctx, r)
+	asked := c.clock.Now()
+	a, err := procedure.CallUnary(ctx, r)
 	if connect.CodeOf(err) == connect.CodeOutOfRange {
 		return bvfollower.Listing{}, bvfollower.ErrCompacted
 	}
@@ -84,7 +87,7 @@
 	if len(a.Msg.Others) > 0 {
 		return bvfollower.Listing{}, a.Msg.redirect()
 	}
-	return a.Msg.decode()
+	return a.Msg.decode(asked)
 }
 
 // Disconnect closes idle connections, so that the next call opens a new one.
--- a/io/bvrelay/server.go
+++ b/io/bvrelay/server.go
@@ -78,6 +78,7 @@
 }
 
 func (s *Server) watch(ctx context.Context, r *connect.Request[watchRequest]) (*connect.Response[watchAnswer], error) {
+	asked := s.clock.Now()
 	select {
 	case s.watches <- struct{}{}:
 		defer func() { <-s.watches }()
@@ -92,7 +93,7 @@
 		if !ok {
 			return nil, connect.NewError(connect.CodeUnavailable, errors.New("bvrelay: nothing is known yet"))
 		}
-		return connect.NewResponse(encode(l)), nil
+		return connect.NewResponse(encode(l, asked)), nil
 	}
 	others, err := s.redirectTargets(r.Msg)
 	if err != nil {
@@ -108,7 +109,7 @@
 	case !ok:
 		return nil, connect.NewError(connect.CodeOutOfRange, bvfollower.ErrCompacted)
 	}
-	return connect.NewResponse(encode(l)), nil
+	return connect.NewResponse(encode(l, asked)), nil
 }
 
 // redirectTargets returns the balancers to which the sender of q is redirected;
