core/bvcatalog: bound what an odd entry may hold

What callers saw: with an entry that another writer had written, flows were placed at an address to which nothing can be sent, such as one with port 0, or most flows at an entry with billions of slots, which looks idle under any load. Operators saw log lines of 0.9 MB and processes whose memory grew with each change of the entry, up to the 4,096 changes that are kept for followers.

Cause: the JSON decoder quotes a number that is too large in full in its error. That text became the problem of the entry, and went into a log line, into the history, and from there to every follower and its own history. The names of service and zone had no limit either. Values were checked for their type, not for whether a VM can have them.

Change: the catalog decides in NewPut and NewUnreadable what an upstream can be and how much of a problem is kept, for entries of the store and for answers of other balancers, which may be of an earlier version.

Ruled out: an end of the process in the decoder. It limits the depth of values and reports them as errors, a port out of range is an invalid address, and a number that is too large is one of another type.

--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -313,10 +313,8 @@
 			Revision: bvrevision.Revision{Era: era, Number: x.Removed.Revision}, ID: bvconfig.UpstreamID(x.Removed.ID),
 		}, nil
 	case x.Unreadable != nil:
-		return bvcatalog.UpstreamUnreadable{
-			Revision: bvrevision.Revision{Era: era, Number: x.Unreadable.Revision}, ID: bvconfig.UpstreamID(x.Unreadable.ID),
-			Problem: x.Unreadable.Problem,
-		}, nil
+		revision := bvrevision.Revision{Era: era, Number: x.Unreadable.Revision}
+		return bvcatalog.NewUnreadable(revision, bvconfig.UpstreamID(x.Unreadable.ID), x.Unreadable.Problem), nil
 	}
 	return nil, ErrMalformedChange
 }
@@ -350,10 +348,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return bvcatalog.UpstreamPut{Revision: bvrevision.Revision{Era: era, Number: w.Revision}, Upstream: bvcatalog.Upstream{
+	return bvcatalog.NewPut(bvrevision.Revision{Era: era, Number: w.Revision}, bvcatalog.Upstream{
 		ID: bvconfig.UpstreamID(w.ID), Address: a, Service: w.Service, Zone: w.Zone, Slots: w.Slots,
 		Draining: w.Draining, ColdFor: duration(w.ColdFor), StartedAt: startTime(w.StartedAt), Sequence: w.Sequence,
-	}}, nil
+	}), nil
 }
 
 func encodeAddress(a netip.AddrPort) []byte {
--- a/io/bvrelay/bvrelay_test.go
+++ b/io/bvrelay/bvrelay_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -187,6 +188,32 @@
 	}
 }
 
+// TestOddEntries guards against entries of other writers that a balancer of an earlier
+// version relays: they get flows, fill the memory, or make the whole answer malformed.
+func TestOddEntries(t *testing.T) {
+	put, long := allChanges[3].(bvcatalog.UpstreamPut), strings.Repeat("9", 1<<20)
+	edits := map[string]func(u *bvcatalog.Upstream){
+		"slots": func(u *bvcatalog.Upstream) { u.Slots = 1<<32 - 1 },
+		"port":  func(u *bvcatalog.Upstream) { u.Address = netip.AddrPortFrom(u.Address.Addr(), 0) },
+		"zone":  func(u *bvcatalog.Upstream) { u.Zone = long },
+	}
+	cs := []bvcatalog.Change{bvcatalog.UpstreamUnreadable{Revision: rev(6), ID: put.Upstream.ID, Problem: long}}
+	for _, edit := range edits {
+		u := put
+		edit(&u.Upstream)
+		cs = append(cs, u)
+	}
+	l, err := encode(bvfollower.Listing{Revision: rev(7), Changes: cs}, asked).decode(asked)
+	require.NoError(t, err)
+	require.Len(t, l.Changes, len(cs))
+	for _, c := range l.Changes {
+		x, ok := c.(bvcatalog.UpstreamUnreadable)
+		require.True(t, ok)
+		assert.Equal(t, put.Upstream.ID, x.ID)
+		assert.Less(t, len(x.Problem), 300)
+	}
+}
+
 // startClient starts a server on the loopback network and returns a client of it.
 func startClient(t *testing.T, p Provider, clock clockwork.Clock) *Client {
 	return NewClient(startServer(t, p, clock, bvfanout.Options{}), bvfanout.Follower{}, clock)
