core/bvtoken: remove the health of zones without upstreams

What operators see: memory that grows slowly and without a bound while another writer keeps changing the zone of an entry.

Cause: the router keeps the health of each zone that it has ever seen, since zones are few. Entries of other writers can name any number of them.

Change: above 64 zones, or twice those in use, the ones without upstreams are removed.

--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -166,6 +166,8 @@
 	// the cost of openings.
 	compared uint64
 	zones    map[string]*zoneHealth
+	// zoneLimit is the number of zones above which those without upstreams are removed.
+	zoneLimit int
 }
 
 // New returns a router that reads the catalog c. The router's user keeps c up to
@@ -177,7 +179,7 @@
 		limiter: bvlimit.New(bvlimit.Options{EjectFraction: 1}),
 		hasher:  bvflow.NewHasher(o.Seed),
 		targets: map[bvconfig.UpstreamID]*target{}, services: map[string]*serviceTargets{},
-		unresolved: newUnresolvedFlows(o.MaxPending), zones: map[string]*zoneHealth{},
+		unresolved: newUnresolvedFlows(o.MaxPending), zones: map[string]*zoneHealth{}, zoneLimit: minZoneLimit,
 		removed: removedUpstreams{},
 		pending: newOpenings(o.MaxPending), requests: newRequests(o.MaxPending),
 	}
--- a/core/bvtoken/refresh.go
+++ b/core/bvtoken/refresh.go
@@ -1,6 +1,7 @@
 package bvtoken
 
 import (
+	"maps"
 	"time"
 
 	"balsamvane/core/bvcatalog"
@@ -30,6 +31,7 @@
 		}
 	}
 	r.expireRemoved()
+	r.expireZones()
 	r.built = true
 }
 
@@ -84,7 +86,25 @@
 	}
 }
 
-// zone returns the health of a zone. Zones are few and are never removed.
+// minZoneLimit is the number of zones up to which those without upstreams are kept.
+// A zone whose last upstream has left soon has others.
+const minZoneLimit = 64
+
+// expireZones removes the zones without upstreams if there are many of them, such as
+// those of entries that another writer keeps changing.
+func (r *Router) expireZones() {
+	if len(r.zones) <= r.zoneLimit {
+		return
+	}
+	used := map[*zoneHealth]bool{}
+	for _, t := range r.targets {
+		used[t.zone] = true
+	}
+	maps.DeleteFunc(r.zones, func(_ string, z *zoneHealth) bool { return !used[z] })
+	r.zoneLimit = max(2*len(r.zones), minZoneLimit)
+}
+
+// zone returns the health of a zone.
 func (r *Router) zone(name string) *zoneHealth {
 	z := r.zones[name]
 	if z == nil {
--- a/core/bvtoken/refresh_test.go
+++ b/core/bvtoken/refresh_test.go
@@ -3,12 +3,14 @@
 import (
 	"flag"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
 	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvconfig"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -63,3 +65,17 @@
 		})
 	})
 }
+
+// TestZonesAreBounded guards against memory that grows with the zones of an entry that
+// another writer keeps changing, and against the loss of the health of other zones.
+func TestZonesAreBounded(t *testing.T) {
+	f := newFixture(11, 21)
+	f.connect(feeds)
+	health := f.router.zone("zone-a")
+	for n := range 10 * minZoneLimit {
+		f.change(31, func(u *bvcatalog.Upstream) { u.Zone = "zone-" + strconv.Itoa(n) })
+		f.connect(feeds)
+	}
+	assert.LessOrEqual(t, len(f.router.zones), minZoneLimit+1)
+	assert.Same(t, health, f.router.zone("zone-a"))
+}
