core/bvcatalog: list unreadable entries to followers

What callers saw: a balancer that listed the entries at a peer while an odd value of another writer stood in the place of an upstream's entry took the upstream for removed. Open flows of one that drained were reset although it served them; a balancer that had just started dropped the packets of its flows as those of an unknown token.

Cause: All left unreadable entries out, while a listing of the store contains them.

Change: All contains them with their problem, which the catalog keeps for that.

Test: TestUnreadableEntryOfPeer; it fails for both balancers without the change. Found by following an odd entry through the answers to peers; not seen in a run of processes.

--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -29,17 +29,22 @@
 	// ColdUntil is when the upstream stops being cold.
 	ColdUntil time.Time
 
-	revision   bvrevision.Revision // Revision of the entry's last change or removal.
-	missing    bool                // The entry was removed, but may only have expired.
-	removed    bool                // The entry was removed for good.
-	removedAt  time.Time
-	unreadable bool   // The entry cannot be decoded or is invalid.
-	shadowed   bool   // A lower ID has the same token.
-	listedIn   string // The service that holds the entry; empty if none does.
+	revision  bvrevision.Revision // Revision of the entry's last change or removal.
+	missing   bool                // The entry was removed, but may only have expired.
+	removed   bool                // The entry was removed for good.
+	removedAt time.Time
+	// problem is why the entry cannot be decoded or is invalid; empty if it is not.
+	problem  string
+	shadowed bool   // A lower ID has the same token.
+	listedIn string // The service that holds the entry; empty if none does.
 }
 
+func (e *Entry) unreadable() bool { return e.problem != "" }
+
 // AcceptsFlows reports whether the upstream may take new flows.
-func (e *Entry) AcceptsFlows() bool { return !e.removed && !e.Draining && !e.unreadable && !e.shadowed }
+func (e *Entry) AcceptsFlows() bool {
+	return !e.removed && !e.Draining && !e.unreadable() && !e.shadowed
+}
 
 // Removed reports whether the upstream was removed for good, so that its flows
 // have ended.
@@ -326,7 +331,7 @@
 			c.entries[v.ID] = e
 		}
 		if v.Revision.After(e.revision) {
-			e.unreadable, e.revision = true, v.Revision
+			e.problem, e.revision = cmp.Or(v.Problem, "unknown"), v.Revision
 		}
 		c.reindex(e)
 	}
@@ -400,7 +405,7 @@
 		c.entries[u.ID] = e
 	}
 	e.Upstream, e.revision = u, r
-	e.missing, e.unreadable = false, false
+	e.missing, e.problem = false, ""
 	e.ColdUntil = now.Add(u.ColdFor)
 	c.reindex(e)
 }
@@ -412,7 +417,7 @@
 func (c *Catalog) putFromCopy(now time.Time, r bvrevision.Revision, u Upstream) {
 	e := c.entries[u.ID]
 	switch {
-	case e == nil || e.unreadable || u.writtenAfter(&e.Upstream):
+	case e == nil || e.unreadable() || u.writtenAfter(&e.Upstream):
 		c.put(now, r, u)
 	case e.removed && !(e.Draining && u.StartedAt.Equal(e.StartedAt)):
 		c.put(now, r, u)
--- a/core/bvcatalog/catalog_test.go
+++ b/core/bvcatalog/catalog_test.go
@@ -159,6 +159,27 @@
 	assert.True(t, c.ByToken(TokenOf(2)).AcceptsFlows())
 }
 
+// TestUnreadableEntryOfPeer guards against a follower that takes an unreadable entry for
+// a removed one because the balancer that it lists does not mention it: it would reset
+// the flows of the upstream, which may only have been overwritten by another writer.
+func TestUnreadableEntryOfPeer(t *testing.T) {
+	draining := Upstream{ID: 2, Address: netip.MustParseAddrPort("192.0.2.2:80"), Service: "desk", Zone: "zone-a", Slots: 4, Draining: true}
+	peer, store := newListed(Options{}), newListed(Options{})
+	for _, c := range []*Catalog{peer, store} {
+		c.Apply(at(time.Second), 0, rev(11), []Change{UpstreamPut{Revision: rev(11), Upstream: draining}})
+	}
+	peer.Apply(at(2*time.Second), 0, rev(12), []Change{NewUnreadable(rev(12), 2, "state is not known")})
+	for name, c := range map[string]*Catalog{"has read it before": store, "starts": New(Options{})} {
+		c.Replace(at(3*time.Second), 0, peer.Revision(), peer.All(at(3*time.Second)))
+		e := c.ByToken(TokenOf(2))
+		require.NotNil(t, e, name)
+		assert.False(t, e.Removed(), name)
+		assert.False(t, e.AcceptsFlows(), name)
+		assert.Equal(t, peer.All(at(3*time.Second)), c.All(at(3*time.Second)), name)
+	}
+	assert.Equal(t, draining.Address, store.ByToken(TokenOf(2)).Address, "its flows go on")
+}
+
 // TestTokenCollision guards against flows that reach the wrong one of two upstreams
 // with the same token. All balancers must assign the token to the same upstream.
 func TestTokenCollision(t *testing.T) {
--- a/core/bvcatalog/history.go
+++ b/core/bvcatalog/history.go
@@ -57,8 +57,8 @@
 }
 
 // All returns the changes that lead from an empty catalog to this one, without
-// unreadable entries, and without entries and zones of which only the end of the
-// grace period shows whether the platform still has them.
+// entries and zones of which only the end of the grace period shows whether the
+// platform still has them.
 func (c *Catalog) All(now time.Time) []Change {
 	var cs []Change
 	if c.configured {
@@ -74,7 +74,11 @@
 	}
 	for _, id := range sortedIDs(c.entries) {
 		e := c.entries[id]
-		if e.removed || e.missing || e.unreadable {
+		if e.removed || e.missing {
+			continue
+		}
+		if e.unreadable() {
+			cs = append(cs, NewUnreadable(e.revision, id, e.problem))
 			continue
 		}
 		u := e.Upstream
--- a/core/bvcatalog/index_test.go
+++ b/core/bvcatalog/index_test.go
@@ -46,7 +46,7 @@
 		if _, ok := n.limits[e.Service]; !ok {
 			n.limits[e.Service] = ServiceLimits{Name: e.Service}
 		}
-		accepts := !e.removed && !e.Draining && !e.unreadable && !shadowed
+		accepts := !e.removed && !e.Draining && !e.unreadable() && !shadowed
 		n.services[e.Service] = append(n.services[e.Service], fmt.Sprint(e.ID, accepts, e.Zone, e.Address, c.zonesOutOfService[e.Zone]))
 	}
 	return n
