io/bvforwarder: show unreadable entries in the dump

Cause: an entry that no upstream can have was only in a log line of the balancers that read the store, and that line is sampled. Nothing told which balancer knows of it, and why it gets no flows.

Change: the dump lists such entries with their problem, and the query "vm" selects one.

--- a/core/bvcatalog/history.go
+++ b/core/bvcatalog/history.go
@@ -1,6 +1,7 @@
 package bvcatalog
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -56,6 +57,17 @@
 	return cs, true
 }
 
+// Unreadable returns the entries that cannot be decoded or are invalid, by ID.
+func (c *Catalog) Unreadable() (out []UpstreamUnreadable) {
+	for _, e := range c.entries {
+		if e.unreadable() && !e.removed {
+			out = append(out, UpstreamUnreadable{Revision: e.revision, ID: e.ID, Problem: e.problem})
+		}
+	}
+	slices.SortFunc(out, func(a, b UpstreamUnreadable) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // All returns the changes that lead from an empty catalog to this one, without
 // entries and zones of which only the end of the grace period shows whether the
 // platform still has them.
--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -290,7 +290,9 @@
 // and against a decision that is not logged.
 func TestMetricsAndDump(t *testing.T) {
 	f := newFixture(t, Options{})
-	f.store.set(f.listing(), nil)
+	l := f.listing()
+	l.Changes = append(l.Changes, bvcatalog.NewUnreadable(rev(5), 8, "state is not known"))
+	f.store.set(l, nil)
 	f.send(byteOpening, 1)
 	f.receive(f.upstream)
 	get := func(path string) string {
@@ -307,6 +309,8 @@
 	assert.Contains(t, get("/dump"), `"handshakeTimeout": "150ms"`)
 	assert.Contains(t, get("/dump?service=desk&vm=7"), `"id": 7`)
 	assert.NotContains(t, get("/dump?service=other"), `"id": 7`)
+	assert.Contains(t, get("/dump?vm=8"), `"problem": "state is not known"`)
+	assert.NotContains(t, get("/dump?vm=7"), `"problem"`)
 	assert.Contains(t, get("/dump?flow=tcp,127.0.0.1:1001,198.51.100.1:80"), "balsamvane explain")
 	for _, field := range []string{`"state": "active"`, `"revision": 3`, `"platformAge": "`, `"followers": 0`} {
 		assert.Contains(t, get("/status"), field)
--- a/io/bvforwarder/dump.go
+++ b/io/bvforwarder/dump.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvtoken"
 )
 
@@ -34,6 +35,14 @@
 	status
 	HandshakeTimeout string                 `json:"handshakeTimeout"`
 	Upstreams        []bvtoken.UpstreamDump `json:"upstreams"`
+	Unreadable       []unreadableEntry      `json:"unreadable,omitempty"`
+}
+
+// unreadableEntry is an entry of the store that describes no upstream, or one that
+// another writer has overwritten.
+type unreadableEntry struct {
+	ID      bvconfig.UpstreamID `json:"id"`
+	Problem string              `json:"problem"`
 }
 
 // errNoFlowState is the answer to a dump request for one flow.
@@ -63,7 +72,8 @@
 }
 
 // dump answers the dump endpoint with the complete state. The query can limit the
-// upstreams to those of a service or to the one with an ID.
+// upstreams to those of a service, and upstreams and unreadable entries to the one
+// with an ID.
 func (w *Forwarder) dump(q url.Values) (any, error) {
 	if q.Get("flow") != "" {
 		return nil, errNoFlowState
@@ -72,8 +82,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	service, id := q.Get("service"), q.Get("vm")
+	hasOtherID := func(u bvconfig.UpstreamID) bool { return id != "" && strconv.FormatUint(uint64(u), 10) != id }
 	us := slices.DeleteFunc(w.router.Dump(w.clock.Now()), func(u bvtoken.UpstreamDump) bool {
-		return service != "" && u.Service != service || id != "" && strconv.FormatUint(uint64(u.ID), 10) != id
+		return service != "" && u.Service != service || hasOtherID(u.ID)
 	})
-	return dump{status: s, HandshakeTimeout: w.router.HandshakeTimeout().String(), Upstreams: us}, nil
+	out := dump{status: s, HandshakeTimeout: w.router.HandshakeTimeout().String(), Upstreams: us}
+	for _, e := range w.catalog.Unreadable() {
+		if !hasOtherID(e.ID) {
+			out.Unreadable = append(out.Unreadable, unreadableEntry{ID: e.ID, Problem: e.Problem})
+		}
+	}
+	return out, nil
 }
