core/bvtoken: test a reset after a restart that was not read

Cause: a removed upstream that had drained counts as ended, and its flows are reset at once. A balancer that has not read that the upstream started again under its ID does the same to flows of the new process that another balancer has opened.

Not fixed here. The wait for a confirmation that routes have now would cost the callers of an upstream that has left up to two waits of a watch for each flow that they still hold, and at the design size most flows are the first of their upstream at a balancer. The token has no room to tell two processes of one ID apart.

--- a/core/bvtoken/removed_test.go
+++ b/core/bvtoken/removed_test.go
@@ -87,3 +87,14 @@
 		assert.Empty(t, f.router.removed)
 	})
 }
+
+// TestUnreadRestart guards against a reset of an open flow by a balancer that has read
+// that the flow's upstream drained and left, and not yet that it started again under
+// its ID. Another balancer that has read it opened the flow.
+func TestUnreadRestart(t *testing.T) {
+	f := newFixture(11, 12)
+	f.leave(11)
+	f.advance(time.Second)
+	d := f.request(f.openedElsewhere(tickets, 11), false)
+	assert.Equal(t, VerdictForward, d.Verdict, d.Reason)
+}
