core/bvtoken: reset flows of an upstream that has left only if they were open before

What callers saw: an open flow could be reset although its upstream served it. The upstream had drained, left and started again under its ID, and the balancer that got the flow's packet had read that it left, not that it is back.

A removal that this balancer has read does not show that nothing was added since.

Change: the router remembers when the first packet of each open flow arrived, for all of them instead of those without a route. A flow has ended if the catalog is complete up to a time after that and lacks its route or upstream. Flows that another balancer has forwarded are reset at the next confirmation, or when their packets stay unacknowledged.

It replaces the table of unresolved flows.

TestReadingOrders now lets upstreams drain, leave and start again under their IDs, and draws 1,000 cases. TestSeenFlows, TestReusedPortOfDroppedRoute.

Ruled out: a second token for each start of an upstream, so that the two can be told apart. Balancers of two versions would not understand each other's tokens.

--- a/core/bvtoken/bench_test.go
+++ b/core/bvtoken/bench_test.go
@@ -132,3 +132,20 @@
 		}
 	}
 }
+
+// BenchmarkEstablished measures packets of open flows, whose slots are spread over the
+// whole table of flows.
+func BenchmarkEstablished(b *testing.B) {
+	const flows = 1 << 14
+	f := newFixture(11, 12)
+	packets := make([]Packet, flows)
+	for i := range packets {
+		x := f.openedElsewhere(feeds, 11)
+		x.tuple.Source = netip.AddrPortFrom(netip.AddrFrom4([4]byte{203, 0, byte(i >> 8), byte(i)}), 1024)
+		packets[i] = x.packet(bvflow.PhaseEstablished, 0)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		f.router.Route(f.now, packets[i%flows])
+	}
+}
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -96,9 +96,8 @@
 	// RequestTimeout is how long a request counts as open without an answer.
 	// 3 s.
 	RequestTimeout time.Duration
-	// MaxPending bounds each of four tables: openings of known callers, openings of
-	// other callers, requests, and open flows without a route or upstream in the
-	// catalog. 4,096 each.
+	// MaxPending bounds each of three tables of unanswered packets: openings of
+	// known callers, openings of other callers, and requests. 4,096 each.
 	MaxPending int
 	// ColdBalancers is the number of balancers that share the budget of a cold
 	// upstream; 0 if this one places no flows there.
@@ -159,7 +158,7 @@
 	handshake      handshakeTime
 	incompleteRuns incompleteRuns
 	recent         recentOpenings
-	unresolved     unresolvedFlows
+	seen           seenFlows
 	removed        removedUpstreams
 	reachability   reachability
 	// compared counts the upstreams that were compared for new flows. It measures
@@ -179,7 +178,7 @@
 		limiter: bvlimit.New(bvlimit.Options{EjectFraction: 1}),
 		hasher:  bvflow.NewHasher(o.Seed),
 		targets: map[bvconfig.UpstreamID]*target{}, services: map[string]*serviceTargets{},
-		unresolved: newUnresolvedFlows(o.MaxPending), zones: map[string]*zoneHealth{}, zoneLimit: minZoneLimit,
+		seen: newSeenFlows(), zones: map[string]*zoneHealth{}, zoneLimit: minZoneLimit,
 		removed: removedUpstreams{},
 		pending: newOpenings(o.MaxPending), requests: newRequests(o.MaxPending),
 	}
--- a/core/bvtoken/fixture_test.go
+++ b/core/bvtoken/fixture_test.go
@@ -78,9 +78,17 @@
 	f.apply(bvcatalog.UpstreamPut{Revision: rev(f.revision + 1), Upstream: u})
 }
 
+// callDelay is the time from a packet to the next call of the platform. The router
+// rounds the times of packets to milliseconds.
+const callDelay = 2 * time.Millisecond
+
+// apply applies an answer of the platform to a call that began after all packets
+// before.
 func (f *fixture) apply(cs ...bvcatalog.Change) {
+	f.now = f.now.Add(callDelay)
 	f.revision++
 	f.catalog.Apply(f.now, 0, rev(f.revision), cs)
+	f.catalog.RecordComplete(f.catalog.Revision(), f.now)
 }
 
 // remove removes an upstream's entry.
--- a/core/bvtoken/removed.go
+++ b/core/bvtoken/removed.go
@@ -18,11 +18,12 @@
 // not reach the platform, and a restore of the platform may lose its registration.
 type removedUpstreams map[bvconfig.UpstreamID]*unackedRun
 
-// routeRemoved decides on a packet of an open flow whose upstream was removed. An
-// upstream that has drained has ended, and so have its flows. Any other one keeps
-// them until it shows that it does not answer.
-func (r *Router) routeRemoved(now time.Time, k bvflow.Key, e *bvcatalog.Entry, p Packet) Decision {
-	if e.Draining {
+// routeRemoved decides on a packet of a flow that has been open since a time and whose
+// upstream was removed. An upstream that has drained has ended, and so have its flows,
+// unless it has started again under its ID and another balancer has opened them. Any
+// other one keeps them until it shows that it does not answer.
+func (r *Router) routeRemoved(now time.Time, k bvflow.Key, openSince time.Time, e *bvcatalog.Entry, p Packet) Decision {
+	if e.Draining && r.knowsRemovalsSince(openSince) {
 		return r.resetFrom(e, p, ReasonUpstreamRemoved)
 	}
 	run := r.removed[e.ID]
@@ -64,7 +65,7 @@
 // retainRemoved keeps the unacknowledged packets of an upstream whose entry was
 // removed.
 func (r *Router) retainRemoved(t *target) {
-	if t.entry.Removed() && !t.entry.Draining {
+	if t.entry.Removed() {
 		run := t.unacked
 		r.removed[t.entry.ID] = &run
 	}
--- a/core/bvtoken/ring.go
+++ b/core/bvtoken/ring.go
@@ -20,11 +20,9 @@
 
 func newRing(capacity int) ring { return ring{queue: make([]timedKey, capacity)} }
 
-func (r *ring) full() bool { return r.size == len(r.queue) }
-
 // push appends a key. If the ring is full it removes and returns the oldest.
 func (r *ring) push(k bvflow.Key, at time.Time) (full bool, oldest bvflow.Key) {
-	if r.full() {
+	if r.size == len(r.queue) {
 		full, oldest = true, r.pop().key
 	}
 	r.queue[(r.head+r.size)%len(r.queue)] = timedKey{k, at}
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -25,22 +25,20 @@
 	if p.Token == 0 {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonNoToken}
 	}
+	openFor := r.seen.record(now, k, p.Token)
 	route, routed := r.catalog.Route(p.Destination)
-	e := r.catalog.ByToken(p.Token)
-	if routed && e != nil {
-		r.unresolved.remove(k)
-	}
-	if !routed && r.confirmedAbsent(now, k) {
+	if !routed && r.knowsRemovalsSince(now.Add(-openFor)) {
 		return r.reset(p, ReasonNoRoute)
 	}
+	e := r.catalog.ByToken(p.Token)
 	if e == nil {
-		return r.routeUnknownToken(now, k, p)
+		return r.routeUnknownToken(now, now.Add(-openFor), p)
 	}
 	if !e.Address.IsValid() {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonUnreadable}
 	}
 	if e.Removed() {
-		return r.routeRemoved(now, k, e, p)
+		return r.routeRemoved(now, k, now.Add(-openFor), e, p)
 	}
 	reason := ReasonToken
 	if !routed {
@@ -60,25 +58,25 @@
 	return forward(e, reason)
 }
 
-// routeUnknownToken decides on a packet whose token belongs to no upstream.
+// routeUnknownToken decides on a packet whose token belongs to no upstream, of a flow
+// that has been open since a time.
 // Another balancer may have received a new upstream's entry earlier, or the entry may
 // have been removed before this balancer started although the upstream still
 // serves its flows. If the platform confirms later that there is no such upstream,
 // and it was not removed recently, the flow has ended.
-func (r *Router) routeUnknownToken(now time.Time, k bvflow.Key, p Packet) Decision {
-	if !r.confirmedAbsent(now, k) || !r.catalog.KnowsRemoved(now) {
+func (r *Router) routeUnknownToken(now, openSince time.Time, p Packet) Decision {
+	if !r.knowsRemovalsSince(openSince) || !r.catalog.KnowsRemoved(now) {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonUnknownToken}
 	}
 	return r.reset(p, ReasonUnknownToken)
 }
 
-// confirmedAbsent reports whether the route or upstream of an open flow, which the
-// catalog lacks, was removed. Another balancer may have opened the flow with a newer
-// catalog, so that takes a catalog that is complete up to a time at which the flow
-// was open: the arrival of its first packet here.
-func (r *Router) confirmedAbsent(now time.Time, k bvflow.Key) bool {
-	first := r.unresolved.firstSeen(now, k)
-	return r.catalog.Complete() && r.catalog.Confirmed(first)
+// knowsRemovalsSince reports whether a route or upstream that existed at a time, and
+// that the catalog lacks, was removed. A flow that was open then has ended. A catalog
+// that is only recent does not show that: another balancer may have opened the flow
+// with a newer one.
+func (r *Router) knowsRemovalsSince(t time.Time) bool {
+	return r.catalog.Complete() && r.catalog.Confirmed(t)
 }
 
 // crashed reports whether an upstream appears to have crashed: it does not
@@ -91,7 +89,7 @@
 
 // catalogCurrent reports whether the catalog is recent enough to refuse a new flow
 // for what the catalog lacks. It does not show that an open flow has ended; see
-// confirmedAbsent.
+// knowsRemovalsSince.
 func (r *Router) catalogCurrent(now time.Time) bool {
 	return r.catalog.Complete() && r.catalog.Age(now) <= r.options.MaxStaleness
 }
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -100,15 +100,8 @@
 		{"route was removed", nil, func(f *fixture) Decision {
 			x := f.connect(feeds)
 			f.apply(bvcatalog.Configuration{Version: 2})
-			f.request(x, false)
-			f.advance(time.Millisecond)
 			return f.request(x, false)
 		}, VerdictReset, ReasonNoRoute},
-		{"route was removed, and may have been added again", nil, func(f *fixture) Decision {
-			x := f.connect(feeds)
-			f.apply(bvcatalog.Configuration{Version: 2})
-			return f.request(x, false)
-		}, VerdictForward, ReasonTokenUnreadRoute},
 		{"unknown token", nil, func(f *fixture) Decision {
 			x := f.connect(feeds)
 			x.token = 999
@@ -170,7 +163,7 @@
 	for i := range 10_000 {
 		f.request(flowAt(bvconfig.UpstreamID(1000+i)), false)
 	}
-	assert.LessOrEqual(t, len(f.router.unresolved.first), f.router.options.MaxPending)
+	assert.Len(t, f.router.seen.slots, seenSlots)
 
 	earlier, later := flowAt(34), flowAt(34)
 	f.request(earlier, false)
--- a/core/bvtoken/unread_test.go
+++ b/core/bvtoken/unread_test.go
@@ -1,8 +1,10 @@
 package bvtoken
 
 import (
+	"flag"
 	"net/netip"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -87,11 +89,21 @@
 }
 
 // TestDroppedRoute guards against flows that stay open although their route was
-// dropped, on a balancer that knew the route and on one that started later.
+// dropped: on a balancer that has forwarded their packets, on one that gets the first of
+// them later, and on one that has started since.
 func TestDroppedRoute(t *testing.T) {
+	t.Run("forwarded before", func(t *testing.T) {
+		f := newFixture(11, 12)
+		f.configure(2, unrouted)
+		x := f.connect(unrouted)
+		f.configure(3)
+		d := f.request(x, false)
+		assert.Equal(t, VerdictReset, d.Verdict, "at once")
+		assert.Equal(t, ReasonNoRoute, d.Reason)
+	})
 	tests := map[string]func(f *fixture){
-		"known before":    func(f *fixture) { f.configure(2, unrouted); f.configure(3) },
-		"dropped earlier": func(*fixture) {},
+		"forwarded by another balancer": func(f *fixture) { f.configure(2, unrouted); f.configure(3) },
+		"started since":                 func(*fixture) {},
 	}
 	for name, drop := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -99,7 +111,7 @@
 			drop(f)
 			x := f.openedElsewhere(unrouted, 12)
 			f.request(x, false)
-			asked := f.now.Add(time.Millisecond)
+			asked := f.now.Add(callDelay)
 			f.now = f.now.Add(300 * time.Millisecond)
 			f.catalog.RecordComplete(f.catalog.Revision(), asked)
 			d := f.request(x, false)
@@ -109,63 +121,69 @@
 	}
 }
 
-// TestReusedPortOfDroppedRoute guards against a reset of a new flow because a flow
-// with the same addresses and ports was seen before its route was dropped and added
-// again.
+// TestReusedPortOfDroppedRoute guards against a reset of a new flow because a flow from
+// the same port was seen before its route was dropped and added again.
 func TestReusedPortOfDroppedRoute(t *testing.T) {
-	tests := map[string]struct {
-		between func(f *fixture, x *flow)
-	}{
-		"opened here":           {func(f *fixture, x *flow) { f.configure(2, unrouted); f.open(x) }},
-		"a packet while routed": {func(f *fixture, x *flow) { f.configure(2, unrouted); f.request(x, false) }},
-		"opened elsewhere":      {func(f *fixture, _ *flow) { f.advance(unresolvedTimeout + time.Second) }},
+	tests := map[string]func(f *fixture, x *flow){
+		"opened here":          func(f *fixture, x *flow) { f.leave(11); f.configure(2, unrouted); f.open(x) },
+		"at another upstream":  func(_ *fixture, x *flow) { x.upstream, x.token = 11, bvcatalog.TokenOf(11) },
+		"opened much later":    func(f *fixture, _ *flow) { f.advance(seenTimeout + 2*time.Second) },
+		"slot was overwritten": func(f *fixture, _ *flow) { clear(f.router.seen.slots) },
 	}
-	for name, tt := range tests {
+	for name, reopen := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(11, 12)
 			x := f.openedElsewhere(unrouted, 12)
 			f.request(x, false)
 			f.advance(time.Second)
-			tt.between(f, x)
+			reopen(f, x)
 			f.configure(3)
 			assert.Equal(t, VerdictForward, f.request(x, false).Verdict)
 		})
 	}
 }
 
-// TestUnresolvedFlowsAreBounded guards against memory that grows with flows without a
-// route or upstream, of which callers can make up any number, and against an
-// eviction that removes a newer entry of the same flow.
-func TestUnresolvedFlowsAreBounded(t *testing.T) {
-	const capacity = 4
-	u := newUnresolvedFlows(capacity)
-	key := func(n int) bvflow.Key {
-		return bvflow.NewHasher(0).Key(bvflow.Tuple{Source: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(n))})
-	}
-	at := func(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
-	u.firstSeen(at(0), key(0))
-	u.remove(key(0))
-	u.firstSeen(at(1), key(0))
-	for n := 2; n <= capacity; n++ {
-		u.firstSeen(at(n), key(n))
-	}
-	assert.Equal(t, at(1), u.firstSeen(at(capacity), key(0)), "its first entry was evicted")
-	for n := range 10 * capacity {
-		u.firstSeen(at(100), key(100+n))
-	}
-	assert.Len(t, u.first, capacity)
-	assert.Equal(t, at(200), u.firstSeen(at(200), key(0)), "its entry was evicted")
-	u.firstSeen(at(200).Add(2*unresolvedTimeout), key(1))
-	assert.Len(t, u.first, 1, "the others have expired")
+// TestSeenFlows guards against a flow that counts as open since before its first packet,
+// whatever other flows share its slot, and after the times overflow.
+func TestSeenFlows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now := newSeenFlows(), start
+		s.epoch = start.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "s")) * time.Second).Add(-(1 << 32) * time.Millisecond).Add(time.Minute)
+		type open struct {
+			key   bvflow.Key
+			token bvcatalog.Token
+		}
+		first, last := map[open]time.Time{}, map[open]time.Time{}
+		for range rapid.IntRange(1, 200).Draw(t, "packets") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 8e6).Draw(t, "us")) * time.Microsecond)
+			var x open
+			x.key[2] = byte(rapid.IntRange(0, 2).Draw(t, "key")) // Not part of the slot's number.
+			x.token = bvcatalog.Token(rapid.IntRange(1, 2).Draw(t, "token"))
+			if now.Sub(last[x]) > seenTimeout+time.Second {
+				first[x] = now
+			}
+			last[x] = now
+			openFor := s.record(now, x.key, x.token)
+			require.GreaterOrEqual(t, openFor, time.Duration(0))
+			require.LessOrEqual(t, openFor, now.Sub(first[x]))
+			require.Equal(t, openFor, s.record(now, x.key, x.token))
+		}
+	})
 }
 
 // fleetStore is the state of the store in a run of a simulated fleet.
 type fleetStore struct {
 	revision  int64
 	version   uint64
-	routes    map[netip.AddrPort]int // The number of the route's addition.
-	upstreams map[bvconfig.UpstreamID]int64
-	next      bvconfig.UpstreamID
+	routes    map[netip.AddrPort]uint64 // The version that added the route.
+	upstreams map[bvconfig.UpstreamID]fleetUpstream
+}
+
+// fleetUpstream is an upstream's entry.
+type fleetUpstream struct {
+	revision  int64
+	startedAt int64 // Revision at the start of the process.
+	draining  bool
 }
 
 func (s *fleetStore) addresses() []netip.AddrPort {
@@ -180,12 +198,39 @@
 // listing returns all entries.
 func (s *fleetStore) listing() []bvcatalog.Change {
 	cs := []bvcatalog.Change{configuration(s.version, s.addresses()...)}
-	for id, number := range s.upstreams {
-		cs = append(cs, bvcatalog.UpstreamPut{Revision: rev(number), Upstream: upstream(id)})
+	for id, u := range s.upstreams {
+		x := upstream(id)
+		x.Draining = u.draining
+		cs = append(cs, bvcatalog.UpstreamPut{Revision: rev(u.revision), Upstream: x})
 	}
 	return cs
 }
 
+// changeConfiguration adds or drops a route.
+func (s *fleetStore) changeConfiguration(a netip.AddrPort) {
+	s.revision++
+	s.version++
+	if _, ok := s.routes[a]; ok {
+		delete(s.routes, a)
+	} else {
+		s.routes[a] = s.version
+	}
+}
+
+// changeUpstream makes an upstream start, drain or leave, whichever comes next.
+func (s *fleetStore) changeUpstream(id bvconfig.UpstreamID) {
+	s.revision++
+	switch u, ok := s.upstreams[id]; {
+	case !ok:
+		s.upstreams[id] = fleetUpstream{revision: s.revision, startedAt: s.revision}
+	case !u.draining:
+		u.revision, u.draining = s.revision, true
+		s.upstreams[id] = u
+	default:
+		delete(s.upstreams, id)
+	}
+}
+
 // fleetBalancer is a balancer that reads the store with calls of any delay.
 type fleetBalancer struct {
 	catalog *bvcatalog.Catalog
@@ -222,10 +267,30 @@
 	b.deliver(now)
 }
 
-// fleetFlow is an open flow with the number of its route's addition.
+// fleetFlow is an open flow with the version that added its route and the start of its
+// upstream.
 type fleetFlow struct {
 	*flow
-	addition int
+	addedBy   uint64
+	startedAt int64
+}
+
+// mustLive reports whether the flow's route and upstream have existed since it opened.
+func (s *fleetStore) mustLive(x fleetFlow) bool {
+	addedBy, routed := s.routes[x.tuple.Destination]
+	u, lives := s.upstreams[x.upstream]
+	return routed && addedBy == x.addedBy && lives && u.startedAt == x.startedAt
+}
+
+// atLeastChecks raises the number of cases that rapid draws in a test.
+func atLeastChecks(t *testing.T, n int) {
+	f := flag.Lookup("rapid.checks")
+	before := f.Value.String()
+	if drawn, err := strconv.Atoi(before); err == nil && drawn >= n {
+		return
+	}
+	require.NoError(t, flag.Set(f.Name, strconv.Itoa(n)))
+	t.Cleanup(func() { require.NoError(t, flag.Set(f.Name, before)) })
 }
 
 // TestReadingOrders guards against resets of open flows whose route and upstream
@@ -233,10 +298,11 @@
 // of a fleet ask the store, and answers are given and delivered; and against flows of
 // dropped routes that stay open.
 func TestReadingOrders(t *testing.T) {
+	atLeastChecks(t, 1000) // Few orders show an answer that is delayed, or a restart.
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fixture{now: start}
 		addresses := []netip.AddrPort{feeds, tickets}
-		s := &fleetStore{revision: 1, version: 1, routes: map[netip.AddrPort]int{}, upstreams: map[bvconfig.UpstreamID]int64{11: 1}, next: 12}
+		s := &fleetStore{revision: 1, version: 1, routes: map[netip.AddrPort]uint64{}, upstreams: map[bvconfig.UpstreamID]fleetUpstream{11: {revision: 1, startedAt: 1}}}
 		var balancers []*fleetBalancer
 		for range 2 {
 			c := bvcatalog.New(bvcatalog.Options{})
@@ -253,25 +319,15 @@
 		var flows []fleetFlow
 		balancer := func(t *rapid.T) *fleetBalancer { return rapid.SampledFrom(balancers).Draw(t, "balancer") }
 		// send sends a packet of a flow through a balancer and reports whether the flow
-		// was reset, which must not happen while its route exists.
+		// was reset, which must not happen while it must live.
 		send := func(t *rapid.T, b *fleetBalancer, x fleetFlow) bool {
 			x.sequence += 200
 			d := b.router.Route(f.now, x.packet(bvflow.PhaseEstablished, 200))
-			if addition, ok := s.routes[x.tuple.Destination]; ok && addition == x.addition {
+			if s.mustLive(x) {
 				require.NotEqual(t, VerdictReset, d.Verdict, "reason %s", d.Reason)
 			}
 			return d.Verdict == VerdictReset
 		}
-		change := func(t *rapid.T) {
-			s.revision++
-			s.version++
-			a := rapid.SampledFrom(addresses).Draw(t, "address")
-			if _, ok := s.routes[a]; ok {
-				delete(s.routes, a)
-			} else {
-				s.routes[a] = int(s.version)
-			}
-		}
 		open := func(t *rapid.T) {
 			b, x := balancer(t), f.newFlow(rapid.SampledFrom(addresses).Draw(t, "address"))
 			d := b.router.Route(f.now, Packet{Packet: bvflow.Packet{Tuple: x.tuple, Phase: bvflow.PhaseOpening}})
@@ -279,7 +335,9 @@
 				return
 			}
 			x.token, x.upstream = d.Token, d.Upstream
-			flows = append(flows, fleetFlow{x, s.routes[x.tuple.Destination]})
+			if u, ok := s.upstreams[x.upstream]; ok { // Another one does not answer.
+				flows = append(flows, fleetFlow{x, s.routes[x.tuple.Destination], u.startedAt})
+			}
 		}
 		sendAll := func(t *rapid.T) {
 			f.now = f.now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
@@ -290,11 +348,11 @@
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"change the configuration": change,
-			"add an upstream": func(*rapid.T) {
-				s.revision++
-				s.upstreams[s.next] = s.revision
-				s.next++
+			"change the configuration": func(t *rapid.T) {
+				s.changeConfiguration(rapid.SampledFrom(addresses).Draw(t, "address"))
+			},
+			"change an upstream": func(t *rapid.T) {
+				s.changeUpstream(rapid.SampledFrom([]bvconfig.UpstreamID{11, 12, 21}).Draw(t, "upstream"))
 			},
 			"ask": func(t *rapid.T) { balancer(t).ask(f.now) },
 			"ask and be answered": func(t *rapid.T) {
@@ -308,7 +366,6 @@
 			"send":    sendAll,
 			"resend":  sendAll,
 		})
-		f.now = f.now.Add(unresolvedTimeout + time.Second) // No first packet is remembered.
 		for _, x := range flows {
 			if _, ok := s.routes[x.tuple.Destination]; ok {
 				continue
