io/bvplatform: decode the entries of the list of VMs one by one

What operators saw: with one odd entry in the platform's list of VMs, such as a state that is a number or is not known, balancers of the Geneve way ignored the whole list and logged that it is malformed. Upstreams that the register no longer has stayed in use for their flows after their VM was gone.

Cause: the list was decoded as a whole, and an unknown state was an error so that it is not taken for a known one, which could discard live flows.

Change: each entry is decoded on its own. A state that cannot be read is unknown and discards nothing. While an entry has no readable name, a VM that is not listed does not count as removed. A log line names up to ten such VMs.

Test changed: TestDecodeVMs wanted an error for an unknown state. It now wants that state to be unknown and the other entries to be decoded, for thirteen kinds of odd entries. New: TestUnreadableVMs.

Not covered: an entry nested deeper than 10,000 levels still makes the whole list malformed, since the decoder of the standard library refuses the document. The list before stays in force.

--- a/core/bvnode/bvnode.go
+++ b/core/bvnode/bvnode.go
@@ -112,6 +112,8 @@
 	router  *bvroute.Router
 	sweeper *bvsync.Sweeper
 	vms     map[string]VMState // Nil until the list has been read.
+	// vmsComplete is true if a VM that the list of VMs lacks is removed.
+	vmsComplete bool
 	// retired holds upstreams that the configuration no longer has and whose VM is
 	// not known to be removed.
 	retired  map[bvconfig.UpstreamID]bvconfig.Upstream
@@ -206,7 +208,7 @@
 	case BaseReceived:
 		n.snapshotOutdated = n.store.Retain(ev.Config, ev.Age, now) || n.snapshotOutdated
 	case VMListRead:
-		n.updateVMs(ev.VMs)
+		n.updateVMs(ev)
 	case ProbeSucceeded:
 		n.limiter.Probed(now, ev.Upstream, reportOf(ev))
 	case ProbeFailed:
--- a/core/bvnode/event.go
+++ b/core/bvnode/event.go
@@ -52,6 +52,9 @@
 // VMListRead carries the platform's list of VMs, which lags behind.
 type VMListRead struct {
 	VMs []VM
+	// Unnamed is the number of entries whose name cannot be read. Any VM that the list
+	// lacks may be one of them.
+	Unnamed int
 }
 
 // VM is an entry of the platform's list.
@@ -68,6 +71,7 @@
 	VMLive VMState = iota
 	VMLeaving
 	VMRemoved
+	VMUnknown // The state cannot be read.
 )
 
 // ProbeSucceeded carries an upstream's own report of its health and load.
--- a/core/bvnode/snapshot.go
+++ b/core/bvnode/snapshot.go
@@ -75,9 +75,9 @@
 	n.dropRemovedVMs()
 }
 
-func (n *Node) updateVMs(vms []VM) {
-	n.vms = make(map[string]VMState, len(vms))
-	for _, v := range vms {
+func (n *Node) updateVMs(l VMListRead) {
+	n.vms, n.vmsComplete = make(map[string]VMState, len(l.VMs)), l.Unnamed == 0
+	for _, v := range l.VMs {
 		n.vms[v.Name] = v.State
 	}
 	before := len(n.retired)
@@ -90,7 +90,7 @@
 // removed.
 func (n *Node) dropRemovedVMs() {
 	for id, u := range n.retired {
-		if s, ok := n.vms[u.Name]; n.vms != nil && (!ok || s == VMRemoved) {
+		if s, listed := n.vms[u.Name]; s == VMRemoved || !listed && n.vmsComplete {
 			delete(n.retired, id)
 		}
 	}
--- a/io/bvdaemon/actions.go
+++ b/io/bvdaemon/actions.go
@@ -228,6 +228,9 @@
 	}, failed)
 }
 
+// maxLoggedVMs is the maximum number of VMs that one log line names.
+const maxLoggedVMs = 10
+
 // readVMs reads the platform's list of VMs every vmListInterval. The first
 // delay depends on the node's ID, which spreads the reads of the fleet.
 func (d *Daemon) readVMs(ctx context.Context) error {
@@ -244,11 +247,25 @@
 			d.log.Warn("list of VMs is malformed", zap.Error(err))
 			continue
 		}
-		d.handle(bvnode.VMListRead{VMs: l})
+		d.logUnreadableVMs(l)
+		d.handle(l)
 	}
 	return nil
 }
 
+// logUnreadableVMs logs the entries of the list of VMs that cannot be read.
+func (d *Daemon) logUnreadableVMs(l bvnode.VMListRead) {
+	var unknown []string
+	for _, v := range l.VMs {
+		if v.State == bvnode.VMUnknown && len(unknown) < maxLoggedVMs {
+			unknown = append(unknown, v.Name)
+		}
+	}
+	if len(unknown) > 0 || l.Unnamed > 0 {
+		d.log.Warn("list of VMs has entries that cannot be read", zap.Strings("unknownState", unknown), zap.Int("unnamed", l.Unnamed))
+	}
+}
+
 // peerHandler answers control calls from peers.
 type peerHandler struct {
 	daemon *Daemon
