--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -17,7 +17,7 @@
 // next packet. So a repeated opening may go to another upstream, and a refusal is
 // correct whatever happened to earlier openings of the flow.
 func (r *Router) routeOpening(now time.Time, k bvflow.Key, p Packet) Decision {
-	r.seen.remove(k) // The caller reuses its port.
+	r.seen.remove(k) // A flow that was open from this port before has ended.
 	if !r.catalog.Complete() {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonIncomplete}
 	}
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -59,11 +59,10 @@
 }
 
 // routeUnknownToken decides on a packet whose token belongs to no upstream, of a flow
-// that has been open since a time.
-// Another balancer may have received a new upstream's entry earlier, or the entry may
-// have been removed before this balancer started although the upstream still
-// serves its flows. If the platform confirms later that there is no such upstream,
-// and it was not removed recently, the flow has ended.
+// that has been open since a time. Another balancer may have received a new upstream's
+// entry earlier, or the entry may have been removed before this balancer started
+// although the upstream still serves its flows. If the platform confirms later that
+// there is no such upstream, and it was not removed recently, the flow has ended.
 func (r *Router) routeUnknownToken(now, openSince time.Time, p Packet) Decision {
 	if !r.knowsRemovalsSince(openSince) || !r.catalog.KnowsRemoved(now) {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonUnknownToken}
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -23,18 +23,19 @@
 	case bvfollower.Listed:
 		l := v.Listing
 		w.catalog.Replace(now, l.Age, l.Revision, l.Changes)
+		w.catalog.RecordComplete(l.Revision, l.CompleteAt)
 		w.log.Info("catalog listed", zap.Int64("revision", l.Revision.Number), zap.Uint64("era", l.Revision.Era),
 			zap.Duration("age", l.Age), zap.Int("entries", len(l.Changes)), zap.Int64("catalogRevision", w.catalog.Revision().Number))
 		w.logRestore(revision, complete)
 	case bvfollower.Changed:
 		l := v.Listing
 		w.catalog.Apply(now, l.Age, l.Revision, l.Changes)
+		w.catalog.RecordComplete(l.Revision, l.CompleteAt)
 		w.logChanges(l)
 		if len(l.Changes) > 0 {
 			w.counters.changeLag.RecordDuration(l.Age)
 		}
 	}
-	w.recordComplete(e)
 	close(w.catalogChanged)
 	w.catalogChanged = make(chan struct{})
 	w.signalComplete()
@@ -43,17 +44,6 @@
 	}
 }
 
-// recordComplete records up to which time an event that was applied makes the
-// catalog complete. The caller holds mu.
-func (w *Forwarder) recordComplete(e bvfollower.Event) {
-	switch v := e.(type) {
-	case bvfollower.Listed:
-		w.catalog.RecordComplete(v.Listing.Revision, v.Listing.CompleteAt)
-	case bvfollower.Changed:
-		w.catalog.RecordComplete(v.Listing.Revision, v.Listing.CompleteAt)
-	}
-}
-
 // logRestore logs that the store was restored from a copy, if the revision of the
 // catalog shows it. The caller holds mu.
 func (w *Forwarder) logRestore(before bvrevision.Revision, wasComplete bool) {
