standin/bvstandcaller: count feeds that broke before the notice of a zone as abandoned

Cause: the demo publishes that a zone is out of service and then tells the caller, in another process, which first asks the upstreams for their addresses, one after the other. Balancers apply the change within milliseconds. A feed that was reset before the notice counted as broken. The flows end because their zone was taken out of service, which the README allows as givenUp.

Change: the notice has the time of the publication. Flows of the zone that broke since then count as abandoned; those that broke before still count as broken.

Test: TestCallerZoneNotice. No balancer changed.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -203,7 +203,7 @@
 	local list since
 	list="$(health_addresses "${zone_b[@]}")"
 	since="$(publish 2 --out-zone b)"
-	"$standin" post "http://$caller:$http/zone?state=out&health=$list"
+	"$standin" post "http://$caller:$http/zone?state=out&health=$list&since=$since"
 	quiet_ms="$("$standin" quiet --since "$since" "$list")"
 	publish 3 >/dev/null
 	"$standin" post "http://$caller:$http/zone?state=in&health=$list"
--- a/standin/bvstandcaller/bvstandcaller.go
+++ b/standin/bvstandcaller/bvstandcaller.go
@@ -9,9 +9,9 @@
 //	c := bvstandcaller.New(options, traffic, clockwork.NewRealClock(), zap.NewNop())
 //	report, err := c.Run(ctx)
 //
-// HTTP on the control address: POST /zone?state=out|in&health=ip:port,… (the
-// zone of the upstreams with these health addresses is taken out of service
-// or is back in service), GET /reached?whole=N&feeds=M (200 once N requests
+// HTTP on the control address: POST /zone?state=out|in&health=ip:port,…&since=ms (the
+// zone of the upstreams with these health addresses is taken out of service, since
+// a Unix time in milliseconds, or is back in service), GET /reached?whole=N&feeds=M (200 once N requests
 // are complete and M feeds are open, else 503), GET /report (the counts so
 // far).
 package bvstandcaller
@@ -318,6 +318,18 @@
 	}
 }
 
+// takeOutOfService records that the zone of an upstream was taken out of service at a
+// time. Flows that broke between that time and now are abandoned.
+func (c *Caller) takeOutOfService(tunnel netip.AddrPort, since time.Time) {
+	c.outages[tunnel] = &outage{from: since}
+	for _, f := range c.allFlows {
+		broken := f.outcome == outcomeReset || f.outcome == outcomeTimedOut || f.outcome == outcomeUnresponsive
+		if broken && f.answeredBy == tunnel && !f.endedAt.Before(since) {
+			f.outcome = outcomeAbandoned
+		}
+	}
+}
+
 // zoneWasOutOfService reports whether the zone of the flow's upstream was out
 // of service at a time when the flow was open.
 func (c *Caller) zoneWasOutOfService(f *flow) bool {
--- a/standin/bvstandcaller/caller_test.go
+++ b/standin/bvstandcaller/caller_test.go
@@ -141,6 +141,22 @@
 	r.deliverSent()
 }
 
+// TestCallerZoneNotice guards against a broken feed that does not count as abandoned
+// because the caller learns only later that its zone was taken out of service, and
+// against one that counts although it broke before.
+func TestCallerZoneNotice(t *testing.T) {
+	for since, want := range map[time.Duration]outcome{
+		-50 * time.Millisecond: outcomeAbandoned, 0: outcomeAbandoned, time.Millisecond: outcomeReset,
+	} {
+		r := newHarness(bench, "feed")
+		r.answer([]byte("feed feed-1 bench u 1\n"))
+		r.upstream.Reset()
+		require.Equal(t, outcomeNames[outcomeReset], outcomeNames[r.flow.outcome])
+		r.caller.takeOutOfService(tunnel, r.flow.endedAt.Add(since))
+		assert.Equal(t, outcomeNames[want], outcomeNames[r.flow.outcome], "taken out %s after the reset", since)
+	}
+}
+
 // TestCallerZoneReturns guards against a broken flow that counts as abandoned
 // although its zone was back in service before the flow opened.
 func TestCallerZoneReturns(t *testing.T) {
--- a/standin/bvstandcaller/flow.go
+++ b/standin/bvstandcaller/flow.go
@@ -48,6 +48,7 @@
 	opened  time.Time
 	conn    *bvwire.Conn // nil for UDP.
 	outcome outcome
+	endedAt time.Time // When the outcome was set.
 
 	answeredBy  netip.AddrPort // Tunnel address of the first upstream that answered.
 	moved       bool           // Another upstream has also answered.
@@ -142,7 +143,7 @@
 			o = outcomeAbandoned
 		}
 	}
-	f.outcome = o
+	f.outcome, f.endedAt = o, f.caller.clock.Now()
 }
 
 func (f *flow) request() []byte {
--- a/standin/bvstandcaller/report.go
+++ b/standin/bvstandcaller/report.go
@@ -209,9 +209,19 @@
 }
 
 // serveZone records that the zone of the upstreams with the given health
-// addresses is taken out of service or is back in service.
+// addresses is taken out of service or is back in service. The request may arrive
+// later than the change, which balancers apply within milliseconds.
 func (c *Caller) serveZone(w http.ResponseWriter, r *http.Request) {
 	now := c.clock.Now()
+	since := now
+	if text := r.FormValue("since"); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		since = time.UnixMilli(ms)
+	}
 	for _, text := range strings.Split(r.FormValue("health"), ",") {
 		a, err := netip.ParseAddrPort(text)
 		if err != nil {
@@ -226,7 +236,7 @@
 		c.mu.Lock()
 		switch o := c.outages[n.Tunnel]; {
 		case r.FormValue("state") == "out":
-			c.outages[n.Tunnel] = &outage{from: now}
+			c.takeOutOfService(n.Tunnel, since)
 		case o != nil:
 			o.to = now
 		}
