core/bvcatalog, io: call the time up to which a catalog is complete its watermark

Cause: Complete reported whether a configuration and a listing have been received, while CompleteAt and RecordComplete spoke of the time up to which all changes are there: one word for two things. Watermark is the usual term for the second.

No change of behaviour.

--- a/core/bvcatalog/catalog.go
+++ b/core/bvcatalog/catalog.go
@@ -82,10 +82,9 @@
 	revision   bvrevision.Revision
 	listed     bool      // A listing has been received.
 	lastAnswer time.Time // Last answer of the platform.
-	// completeAt is the latest time up to which the catalog certainly has all
-	// changes.
-	completeAt time.Time
-	graceEnd   time.Time // End of the grace period after the last outage.
+	// watermark is the latest time up to which the catalog certainly has all changes.
+	watermark time.Time
+	graceEnd  time.Time // End of the grace period after the last outage.
 	// firstGraceEnd is the end of the grace period after the first listing. The
 	// platform may have been unreachable before that listing.
 	firstGraceEnd time.Time
@@ -121,16 +120,15 @@
 // Age returns the time since the platform answered.
 func (c *Catalog) Age(now time.Time) time.Duration { return now.Sub(c.lastAnswer) }
 
-// CompleteAt returns the latest time up to which the catalog certainly has all
-// changes, or the zero value if none is known.
-func (c *Catalog) CompleteAt() time.Time { return c.completeAt }
+// Watermark returns the latest time up to which the catalog certainly has all
+// changes of the platform, or the zero value if none is known.
+func (c *Catalog) Watermark() time.Time { return c.watermark }
 
-// Confirmed reports whether the catalog certainly has all changes of the platform
-// up to some time after t at which no live upstream's entry was missing. What
-// existed at t and is not in the catalog was removed. The age of the catalog does
+// Confirmed reports whether the watermark is after t and at a time at which no live
+// upstream's entry was missing. What existed at t and is not in the catalog was removed. The age of the catalog does
 // not show that: something may have been added since the last answer.
 func (c *Catalog) Confirmed(t time.Time) bool {
-	return c.completeAt.After(t) && c.graceOver(c.completeAt)
+	return c.watermark.After(t) && c.graceOver(c.watermark)
 }
 
 // GracePeriodOver reports whether the platform has answered since the end of the
@@ -202,13 +200,13 @@
 	c.lastAnswer = at
 }
 
-// RecordComplete records that the state of revision r has all changes that the
-// platform had accepted by the time at; the zero value of at records nothing. A time
+// RecordWatermark raises the watermark: the state of revision r has all changes that
+// the platform had accepted by the time at; the zero value of at records nothing. A time
 // at which the platform was asked qualifies, the arrival of its answer does not: the
 // answer may have been delayed. It is called once that state has been applied.
-func (c *Catalog) RecordComplete(r bvrevision.Revision, at time.Time) {
-	if r.Era == c.revision.Era && !r.After(c.revision) && at.After(c.completeAt) {
-		c.completeAt = at
+func (c *Catalog) RecordWatermark(r bvrevision.Revision, at time.Time) {
+	if r.Era == c.revision.Era && !r.After(c.revision) && at.After(c.watermark) {
+		c.watermark = at
 	}
 }
 
--- a/core/bvcatalog/catalog_test.go
+++ b/core/bvcatalog/catalog_test.go
@@ -229,7 +229,7 @@
 	c := newListed(Options{})
 	answer := func(after time.Duration) {
 		c.RecordAnswer(at(after), 0)
-		c.RecordComplete(c.Revision(), at(after))
+		c.RecordWatermark(c.Revision(), at(after))
 	}
 	answer(2 * time.Second)
 	assert.False(t, c.Confirmed(at(time.Second)), "right after the start")
@@ -243,27 +243,26 @@
 	assert.True(t, c.Confirmed(at(time.Second)))
 }
 
-// TestRecordComplete guards against a catalog that counts as complete up to a time
-// although changes from before that time may be missing.
-func TestRecordComplete(t *testing.T) {
+// TestRecordWatermark guards against a watermark before which changes may be missing.
+func TestRecordWatermark(t *testing.T) {
 	c := newListed(Options{})
 	for s := range 6 {
 		c.RecordAnswer(at(time.Duration(s)*time.Second), 0)
 	}
-	require.Zero(t, c.CompleteAt(), "an answer may have been delayed")
-	c.RecordComplete(c.Revision(), time.Time{})
-	require.Zero(t, c.CompleteAt(), "the source knows no time")
+	require.Zero(t, c.Watermark(), "an answer may have been delayed")
+	c.RecordWatermark(c.Revision(), time.Time{})
+	require.Zero(t, c.Watermark(), "the source knows no time")
 	later := c.Revision()
 	later.Number++
-	c.RecordComplete(later, at(5*time.Second))
-	require.Zero(t, c.CompleteAt(), "a state that was not applied")
+	c.RecordWatermark(later, at(5*time.Second))
+	require.Zero(t, c.Watermark(), "a state that was not applied")
 	later.Era++
-	c.RecordComplete(later, at(5*time.Second))
-	require.Zero(t, c.CompleteAt(), "a state of another era")
-	c.RecordComplete(c.Revision(), at(4*time.Second))
-	require.Equal(t, at(4*time.Second), c.CompleteAt())
-	c.RecordComplete(c.Revision(), at(3*time.Second))
-	require.Equal(t, at(4*time.Second), c.CompleteAt(), "an earlier call")
+	c.RecordWatermark(later, at(5*time.Second))
+	require.Zero(t, c.Watermark(), "a state of another era")
+	c.RecordWatermark(c.Revision(), at(4*time.Second))
+	require.Equal(t, at(4*time.Second), c.Watermark())
+	c.RecordWatermark(c.Revision(), at(3*time.Second))
+	require.Equal(t, at(4*time.Second), c.Watermark(), "an earlier call")
 	assert.False(t, c.Confirmed(at(4*time.Second)))
 	assert.True(t, c.Confirmed(at(3900*time.Millisecond)))
 }
--- a/core/bvtoken/fixture_test.go
+++ b/core/bvtoken/fixture_test.go
@@ -88,7 +88,7 @@
 	f.now = f.now.Add(callDelay)
 	f.revision++
 	f.catalog.Apply(f.now, 0, rev(f.revision), cs)
-	f.catalog.RecordComplete(f.catalog.Revision(), f.now)
+	f.catalog.RecordWatermark(f.catalog.Revision(), f.now)
 }
 
 // remove removes an upstream's entry.
@@ -108,7 +108,7 @@
 		step := min(d, time.Second)
 		f.now = f.now.Add(step)
 		f.catalog.RecordAnswer(f.now, 0)
-		f.catalog.RecordComplete(f.catalog.Revision(), f.now)
+		f.catalog.RecordWatermark(f.catalog.Revision(), f.now)
 		f.catalog.Tick(f.now)
 		d -= step
 	}
--- a/core/bvtoken/orders_test.go
+++ b/core/bvtoken/orders_test.go
@@ -98,7 +98,7 @@
 		return
 	}
 	b.catalog.Replace(now, 0, rev(b.number), b.answer)
-	b.catalog.RecordComplete(rev(b.number), b.askedAt)
+	b.catalog.RecordWatermark(rev(b.number), b.askedAt)
 	b.askedAt, b.answer, b.number = time.Time{}, nil, 0
 }
 
--- a/core/bvtoken/unread_test.go
+++ b/core/bvtoken/unread_test.go
@@ -79,7 +79,7 @@
 	assert.Equal(t, ReasonTokenUnreadRoute, d.Reason)
 	f.now = f.now.Add(100 * time.Millisecond)
 	f.catalog.RecordAnswer(f.now, 0)
-	f.catalog.RecordComplete(f.catalog.Revision(), asked)
+	f.catalog.RecordWatermark(f.catalog.Revision(), asked)
 	assert.Equal(t, VerdictForward, f.request(x, false).Verdict)
 }
 
@@ -108,7 +108,7 @@
 			f.request(x, false)
 			asked := f.now.Add(callDelay)
 			f.now = f.now.Add(300 * time.Millisecond)
-			f.catalog.RecordComplete(f.catalog.Revision(), asked)
+			f.catalog.RecordWatermark(f.catalog.Revision(), asked)
 			d := f.request(x, false)
 			assert.Equal(t, VerdictReset, d.Verdict)
 			assert.Equal(t, ReasonNoRoute, d.Reason)
--- a/io/bvfollower/bvfollower.go
+++ b/io/bvfollower/bvfollower.go
@@ -73,9 +73,9 @@
 	// Age is the time since the store confirmed that this is complete. It does not
 	// include the delay of the answer.
 	Age time.Duration
-	// CompleteAt is a time by which the store had accepted no change that is missing
-	// here, whatever delayed the answer; the zero value if none is known.
-	CompleteAt time.Time
+	// Watermark is a time up to which all changes of the store are included, whatever
+	// delayed the answer; the zero value if none is known.
+	Watermark time.Time
 	// Path holds the control addresses of the balancers that forwarded this, that
 	// of the source last; it is empty if the source is the store.
 	Path []netip.AddrPort
--- a/io/bvforwarder/bvforwarder_test.go
+++ b/io/bvforwarder/bvforwarder_test.go
@@ -108,7 +108,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return bvfollower.Listing{Revision: after.Revision, CompleteAt: s.listing.CompleteAt}, ctx.Err()
+	return bvfollower.Listing{Revision: after.Revision, Watermark: s.listing.Watermark}, ctx.Err()
 }
 
 func (s *fakeStore) Disconnect() {}
@@ -336,12 +336,12 @@
 	l, err := c.Watch(context.Background(), bvfollower.Position{Revision: rev(5)}, 0)
 	require.NoError(t, err)
 	assert.Less(t, l.Age, 10*time.Second)
-	assert.Zero(t, l.CompleteAt, "the store of the fixture does not tell it")
+	assert.Zero(t, l.Watermark, "the store of the fixture does not tell it")
 	asked := time.Now()
-	f.store.set(bvfollower.Listing{Revision: rev(5), CompleteAt: asked}, nil)
+	f.store.set(bvfollower.Listing{Revision: rev(5), Watermark: asked}, nil)
 	f.eventually(func() bool {
 		l, err := c.Watch(context.Background(), bvfollower.Position{Revision: rev(5)}, 0)
-		return err == nil && !l.CompleteAt.IsZero() && !l.CompleteAt.After(asked)
+		return err == nil && !l.Watermark.IsZero() && !l.Watermark.After(asked)
 	})
 }
 
--- a/io/bvforwarder/decisionlog.go
+++ b/io/bvforwarder/decisionlog.go
@@ -48,10 +48,10 @@
 // catalogState describes the catalog that a batch was routed with.
 type catalogState struct {
 	age time.Duration
-	// completeAge is the time since the one up to which the catalog is complete.
-	completeAge time.Duration
-	revision    bvrevision.Revision
-	version     uint64
+	// watermarkAge is the time since the watermark of the catalog.
+	watermarkAge time.Duration
+	revision     bvrevision.Revision
+	version      uint64
 }
 
 // logDecision logs a decision within the budget of its verdict and reason.
@@ -70,7 +70,7 @@
 		zap.Bool("opening", opening), zap.Uint32("copy", p.Retransmissions), zap.Uint32("callerToken", uint32(p.Token)),
 		zap.Stringer("verdict", d.Verdict), zap.Stringer("reason", d.Reason),
 		zap.Uint32("token", uint32(d.Token)), zap.Uint64("upstream", uint64(d.Upstream)), address,
-		zap.Duration("catalogAge", s.age), zap.Duration("completeAge", s.completeAge), zap.Int64("revision", s.revision.Number), zap.Uint64("era", s.revision.Era), zap.Uint64("version", s.version))
+		zap.Duration("catalogAge", s.age), zap.Duration("watermarkAge", s.watermarkAge), zap.Int64("revision", s.revision.Number), zap.Uint64("era", s.revision.Era), zap.Uint64("version", s.version))
 }
 
 // reportSuppressed logs the numbers of suppressed lines, once per interval.
--- a/io/bvforwarder/loop.go
+++ b/io/bvforwarder/loop.go
@@ -69,7 +69,7 @@
 	defer w.mu.Unlock()
 	l.decide(now)
 	return catalogState{
-		age: w.catalog.Age(now), completeAge: now.Sub(w.catalog.CompleteAt()), revision: w.catalog.Revision(), version: w.catalog.Version(),
+		age: w.catalog.Age(now), watermarkAge: now.Sub(w.catalog.Watermark()), revision: w.catalog.Revision(), version: w.catalog.Version(),
 	}
 }
 
--- a/io/bvforwarder/provider.go
+++ b/io/bvforwarder/provider.go
@@ -35,7 +35,7 @@
 func (p provider) listing(now time.Time, cs []bvcatalog.Change) bvfollower.Listing {
 	w := p.forwarder
 	return bvfollower.Listing{
-		Revision: w.catalog.Revision(), Age: w.catalog.Age(now), CompleteAt: w.catalog.CompleteAt(), Changes: cs,
+		Revision: w.catalog.Revision(), Age: w.catalog.Age(now), Watermark: w.catalog.Watermark(), Changes: cs,
 		Path: append(slices.Clone(w.follower.Path()), w.settings.Listen.Control),
 	}
 }
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -23,14 +23,14 @@
 	case bvfollower.Listed:
 		l := v.Listing
 		w.catalog.Replace(now, l.Age, l.Revision, l.Changes)
-		w.catalog.RecordComplete(l.Revision, l.CompleteAt)
+		w.catalog.RecordWatermark(l.Revision, l.Watermark)
 		w.log.Info("catalog listed", zap.Int64("revision", l.Revision.Number), zap.Uint64("era", l.Revision.Era),
 			zap.Duration("age", l.Age), zap.Int("entries", len(l.Changes)), zap.Int64("catalogRevision", w.catalog.Revision().Number))
 		w.logRestore(revision, complete)
 	case bvfollower.Changed:
 		l := v.Listing
 		w.catalog.Apply(now, l.Age, l.Revision, l.Changes)
-		w.catalog.RecordComplete(l.Revision, l.CompleteAt)
+		w.catalog.RecordWatermark(l.Revision, l.Watermark)
 		w.logChanges(l)
 		if len(l.Changes) > 0 {
 			w.counters.changeLag.RecordDuration(l.Age)
--- a/io/bvrelay/bench_test.go
+++ b/io/bvrelay/bench_test.go
@@ -51,7 +51,7 @@
 			p := newFakeProvider()
 			p.catalog.Replace(time.Unix(0, 0), 0, rev(7), allChanges[:1])
 			p.catalog.Apply(time.Unix(0, 0), 0, rev(8), allChanges[3:4])
-			p.catalog.RecordComplete(rev(8), time.Now().Add(-1500*time.Millisecond))
+			p.catalog.RecordWatermark(rev(8), time.Now().Add(-1500*time.Millisecond))
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(b, err)
 			metered := &meteredListener{Listener: l}
--- a/io/bvrelay/bvrelay.go
+++ b/io/bvrelay/bvrelay.go
@@ -60,9 +60,9 @@
 	maxRedirectTargets = 16
 	// maxZoneBytes limits the length of a zone's name.
 	maxZoneBytes = 256
-	// maxCompleteOffset limits how far from the request the time is up to which a
-	// state is complete. Any other time counts as unknown.
-	maxCompleteOffset = time.Hour
+	// maxWatermarkOffset limits how far a watermark is from the request. Any other one
+	// counts as unknown.
+	maxWatermarkOffset = time.Hour
 )
 
 // validate returns ErrOutOfBounds for an answer that no balancer sends.
@@ -105,10 +105,10 @@
 	Others [][]byte `cbor:"4,keyasint,omitempty"`
 	Path   [][]byte `cbor:"5,keyasint,omitempty"`
 	Era    uint64   `cbor:"6,keyasint,omitempty"` // Era of all revisions in the answer.
-	// Complete is the time in milliseconds from the arrival of the request to the
-	// time up to which the state is complete; negative if that was before. It is
-	// absent if no such time is known, as in answers of earlier versions.
-	Complete *int64 `cbor:"7,keyasint,omitempty"`
+	// Watermark is the time in milliseconds from the arrival of the request to the
+	// watermark of the state; negative if that was before. It is absent if none is
+	// known, as in answers of earlier versions.
+	Watermark *int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // wireChange is a change; exactly one field is set.
@@ -183,7 +183,7 @@
 	era := l.Revision.Era
 	out := &watchAnswer{
 		Revision: l.Revision.Number, Era: era, Age: milliseconds(l.Age), Path: encodeAddresses(l.Path),
-		Complete: encodeComplete(l.CompleteAt, asked),
+		Watermark: encodeWatermark(l.Watermark, asked),
 	}
 	for _, c := range l.Changes {
 		out.Changes = append(out.Changes, encodeChange(c, era))
@@ -191,26 +191,26 @@
 	return out
 }
 
-// encodeComplete returns the time from asked to completeAt in milliseconds, rounded
-// down, or nil if completeAt is unknown or out of bounds.
-func encodeComplete(completeAt, asked time.Time) *int64 {
-	offset := completeAt.Sub(asked)
-	if completeAt.IsZero() || offset.Abs() >= maxCompleteOffset {
+// encodeWatermark returns the time from asked to a watermark in milliseconds, rounded
+// down, or nil if the watermark is unknown or out of bounds.
+func encodeWatermark(watermark, asked time.Time) *int64 {
+	offset := watermark.Sub(asked)
+	if watermark.IsZero() || offset.Abs() >= maxWatermarkOffset {
 		return nil
 	}
 	ms := int64(math.Floor(float64(offset) / float64(time.Millisecond)))
 	return &ms
 }
 
-// completeAt returns the time up to which the state of an answer is complete, or the
-// zero value if it is unknown. The request was sent at the time asked and arrived
-// later, so the time is not too late whatever delayed the request or the answer.
-func (w *watchAnswer) completeAt(asked time.Time) time.Time {
-	limit := maxCompleteOffset.Milliseconds()
-	if w.Complete == nil || *w.Complete < -limit || *w.Complete > limit {
+// watermark returns the watermark of an answer, or the zero value if it is unknown. The
+// request was sent at the time asked and arrived later, so the watermark is not too
+// late whatever delayed the request or the answer.
+func (w *watchAnswer) watermark(asked time.Time) time.Time {
+	limit := maxWatermarkOffset.Milliseconds()
+	if w.Watermark == nil || *w.Watermark < -limit || *w.Watermark > limit {
 		return time.Time{}
 	}
-	return asked.Add(time.Duration(*w.Complete) * time.Millisecond)
+	return asked.Add(time.Duration(*w.Watermark) * time.Millisecond)
 }
 
 func encodeRedirect(others []netip.AddrPort) *watchAnswer {
@@ -285,7 +285,7 @@
 		return bvfollower.Listing{}, err
 	}
 	out := bvfollower.Listing{
-		Revision: bvrevision.Revision{Era: w.Era, Number: w.Revision}, Age: duration(w.Age), Path: path, CompleteAt: w.completeAt(asked),
+		Revision: bvrevision.Revision{Era: w.Era, Number: w.Revision}, Age: duration(w.Age), Path: path, Watermark: w.watermark(asked),
 	}
 	for _, x := range w.Changes {
 		c, err := x.decode(w.Era)
--- a/io/bvrelay/bvrelay_test.go
+++ b/io/bvrelay/bvrelay_test.go
@@ -48,7 +48,7 @@
 }
 
 func (p *fakeProvider) listing(cs []bvcatalog.Change) bvfollower.Listing {
-	return bvfollower.Listing{Revision: p.catalog.Revision(), Age: p.age, CompleteAt: p.catalog.CompleteAt(), Changes: cs}
+	return bvfollower.Listing{Revision: p.catalog.Revision(), Age: p.age, Watermark: p.catalog.Watermark(), Changes: cs}
 }
 
 func (p *fakeProvider) Changed() <-chan struct{} {
@@ -95,7 +95,7 @@
 func TestCodec(t *testing.T) {
 	c := bvcodec.New()
 	l := bvfollower.Listing{
-		Revision: rev(7), Age: 1200 * time.Millisecond, CompleteAt: asked.Add(-1300 * time.Millisecond), Changes: allChanges,
+		Revision: rev(7), Age: 1200 * time.Millisecond, Watermark: asked.Add(-1300 * time.Millisecond), Changes: allChanges,
 		Path: []netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:6082"), netip.MustParseAddrPort("[2001:db8::2]:6082")},
 	}
 	b, err := c.Marshal(encode(l, asked))
@@ -107,13 +107,13 @@
 	assert.Equal(t, l, got)
 }
 
-// TestCompleteAt guards against an answer that makes the follower's catalog complete
-// up to a later time than the source's, or up to a time that the source does not know.
-func TestCompleteAt(t *testing.T) {
+// TestWatermark guards against a follower whose watermark is after that of its source, or
+// which has one although its source has none.
+func TestWatermark(t *testing.T) {
 	tests := []struct {
-		name       string
-		completeAt time.Time // At the source, whose request arrives at the time asked.
-		want       time.Time // At the follower, which sent the request at the time asked.
+		name      string
+		watermark time.Time // At the source, whose request arrives at the time asked.
+		want      time.Time // At the follower, which sent the request at the time asked.
 	}{
 		{"unknown", time.Time{}, time.Time{}},
 		{"before the request", asked.Add(-1500 * time.Millisecond), asked.Add(-1500 * time.Millisecond)},
@@ -124,34 +124,34 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			l, err := encode(bvfollower.Listing{CompleteAt: tt.completeAt}, asked).decode(asked)
+			l, err := encode(bvfollower.Listing{Watermark: tt.watermark}, asked).decode(asked)
 			require.NoError(t, err)
-			assert.True(t, tt.want.Equal(l.CompleteAt), "%s instead of %s", l.CompleteAt, tt.want)
+			assert.True(t, tt.want.Equal(l.Watermark), "%s instead of %s", l.Watermark, tt.want)
 		})
 	}
 	for _, offset := range []int64{-1 << 63, 1<<63 - 1, 3_600_001} {
-		l, err := (&watchAnswer{Complete: &offset}).decode(asked)
+		l, err := (&watchAnswer{Watermark: &offset}).decode(asked)
 		require.NoError(t, err)
-		assert.Zero(t, l.CompleteAt, "%d ms from the request", offset)
+		assert.Zero(t, l.Watermark, "%d ms from the request", offset)
 	}
 }
 
-// TestCompleteAtOfDelayedAnswer guards against a follower whose catalog counts as
-// complete up to the arrival of an answer that was delayed on its way.
-func TestCompleteAtOfDelayedAnswer(t *testing.T) {
+// TestDelayedWatermark guards against a watermark at the arrival of an answer that was
+// delayed on its way.
+func TestDelayedWatermark(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	clock := clockwork.NewFakeClockAt(asked)
 	p := newFakeProvider()
 	p.catalog.Replace(asked, 0, rev(7), allChanges[:1])
-	p.catalog.RecordComplete(rev(7), asked.Add(-300*time.Millisecond))
+	p.catalog.RecordWatermark(rev(7), asked.Add(-300*time.Millisecond))
 	c := startClient(t, delayedProvider{p, clock}, clock)
 	l, err := c.Watch(ctx, bvfollower.Position{Revision: rev(7)}, 0)
 	require.NoError(t, err)
-	assert.Equal(t, asked.Add(-300*time.Millisecond), l.CompleteAt)
+	assert.Equal(t, asked.Add(-300*time.Millisecond), l.Watermark)
 	l, err = c.List(ctx, func() {})
 	require.NoError(t, err)
-	assert.Equal(t, asked.Add(-300*time.Millisecond), l.CompleteAt)
+	assert.Equal(t, asked.Add(-300*time.Millisecond), l.Watermark)
 }
 
 // delayedProvider is a provider whose answers arrive two seconds after they are
