io/bvforwarder, core/bvtoken: measure how long packets and answers wait

A reset for lack of acknowledgements says only that packets were repeated. The logs could not tell whether the copies waited in the balancer's socket, whether the balancer's own link was slow, or whether the upstream did not answer.

- A batch knows a time after which its packets arrived: when the socket was last empty.
Reads wait 50 ms at most and check again, so the bound is close.
- Router.Sent records when packets were written. newestAnswered tracks the most recently sent packet of a zone that was answered.
- A decision that rests on unacknowledged packets logs how many there were, how many of them were repeated after a later packet's answer had arrived (overtaken), the usual time of answers, and the possible wait in the socket.
- Histograms readWaitSeconds, lockWaitSeconds and applySeconds, and the line 'packets waited'.

No decision changes.

--- a/core/bvflow/bvflow.go
+++ b/core/bvflow/bvflow.go
@@ -19,6 +19,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net/netip"
+	"time"
 
 	"github.com/zeebo/xxh3"
 )
@@ -72,6 +73,10 @@
 	Payload int
 	// Sequence is the TCP sequence number, needed to build a reset.
 	Sequence uint32
+	// ArrivedAfter is a time after which the packet arrived. All packets that had
+	// arrived by then were routed before. A packet may wait in the socket's buffer
+	// while the process is busy or paused. The zero value stands for an unknown time.
+	ArrivedAfter time.Time
 }
 
 // Key is the hash of a Tuple.
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -17,12 +17,14 @@
 // # Usage
 //
 //	r := bvtoken.New(bvtoken.Options{Zone: "zone-a"}, catalog)
+//	packet.ArrivedAfter = socketWasEmptyAt
 //	d := r.Route(now, packet)
 //	switch d.Verdict {
 //	case bvtoken.VerdictForward: // Send to d.Address for d.Upstream, with d.Token.
 //	case bvtoken.VerdictReset: // Answer the caller with a reset.
 //	case bvtoken.VerdictDrop: // Count d.Reason.
 //	}
+//	r.Sent(later) // Once the packets have been written.
 package bvtoken
 
 import (
@@ -79,6 +81,8 @@
 	Token    bvcatalog.Token
 	// Sequence is the sequence number for a reset.
 	Sequence uint32
+	// Evidence is set if the flow is reset because its upstream does not answer.
+	Evidence Evidence
 }
 
 // Options configure a Router; zero values select the defaults.
@@ -145,16 +149,18 @@
 
 // Router makes the decisions of one balancer. It is not safe for concurrent use.
 type Router struct {
-	options        Options
-	catalog        *bvcatalog.Catalog
-	limiter        *bvlimit.Limiter
-	hasher         bvflow.Hasher
-	generation     uint64 // The catalog's generation at the last refresh.
-	built          bool   // False if the next refresh must apply all services.
-	targets        map[bvconfig.UpstreamID]*target
-	services       map[string]*serviceTargets
-	pending        openings
-	requests       requests
+	options    Options
+	catalog    *bvcatalog.Catalog
+	limiter    *bvlimit.Limiter
+	hasher     bvflow.Hasher
+	generation uint64 // The catalog's generation at the last refresh.
+	built      bool   // False if the next refresh must apply all services.
+	targets    map[bvconfig.UpstreamID]*target
+	services   map[string]*serviceTargets
+	pending    openings
+	requests   requests
+	// unsent holds the flows whose last packet has not been sent yet.
+	unsent         []bvflow.Key
 	handshake      handshakeTime
 	incompleteRuns incompleteRuns
 	recent         recentOpenings
--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -24,6 +24,9 @@
 	count int       // Unacknowledged packets since the last answer.
 	first time.Time // Time of the first of them.
 	last  time.Time
+	// overtaken is how many of them were repeated after the answer to a packet had
+	// arrived that was sent later.
+	overtaken int
 }
 
 func (s *unackedRun) reset() { *s = unackedRun{} }
@@ -36,6 +39,29 @@
 	s.last = now
 }
 
+// Evidence is what shows that an upstream does not answer.
+type Evidence struct {
+	// Unacked is the number of repeated packets since the upstream's last answer, the
+	// first of them UnackedFor ago.
+	Unacked    int
+	UnackedFor time.Duration
+	// Overtaken is how many of them were repeated after the answer to a packet had
+	// arrived that was sent later. The others may be late in this process or its links.
+	Overtaken int
+	// AnswerTime is the usual time from an opening to the next packet of its caller.
+	AnswerTime time.Duration
+	// ReadWait is the longest time for which the packet may have waited to be read.
+	ReadWait time.Duration
+}
+
+// evidence returns what a run shows at a packet.
+func (r *Router) evidence(now time.Time, run *unackedRun, p Packet) Evidence {
+	return Evidence{
+		Unacked: run.count, UnackedFor: now.Sub(run.first), Overtaken: run.overtaken,
+		AnswerTime: r.handshake.mean, ReadWait: now.Sub(p.ArrivedAfter),
+	}
+}
+
 // crashed reports whether the run shows that the upstream has crashed: it has at
 // least minUnacked packets, is not a burst of losses at one moment, and is recent.
 func (s *unackedRun) crashed(now time.Time, minUnacked int) bool {
@@ -90,9 +116,12 @@
 	lastUpstream    bvconfig.UpstreamID // The last upstream that left a packet unacknowledged.
 	downUntil       time.Time
 	lastAnswer      time.Time
+	answered        newestAnswered // Of all packets to the zone.
 }
 
-func (z *zoneHealth) recordAnswer(now time.Time) { *z = zoneHealth{lastAnswer: now} }
+func (z *zoneHealth) recordAnswer(now time.Time) {
+	*z = zoneHealth{lastAnswer: now, answered: z.answered}
+}
 
 // recordUnacked records an unacknowledged packet to u. The zone counts as down
 // after at least threshold of them in a row, at several upstreams.
--- a/core/bvtoken/pending.go
+++ b/core/bvtoken/pending.go
@@ -12,6 +12,8 @@
 type opening struct {
 	upstream bvconfig.UpstreamID
 	at       time.Time
+	// sentAt is when the opening was sent to the upstream; zero until then.
+	sentAt time.Time
 	// counted is true if the opening already counts as unanswered.
 	counted bool
 }
@@ -122,6 +124,16 @@
 	return os.unknown.remove(k)
 }
 
+// recordSent records that the opening of a flow was sent by now.
+func (os *openings) recordSent(now time.Time, k bvflow.Key) {
+	for _, p := range []*pending{&os.known, &os.unknown} {
+		if o, ok := p.openings[k]; ok && o.sentAt.IsZero() {
+			o.sentAt = now
+			p.openings[k] = o
+		}
+	}
+}
+
 // complete removes and returns the opening of a flow whose caller has sent a
 // further packet. It adds the caller to the known callers.
 func (os *openings) complete(caller netip.Addr, k bvflow.Key) (opening, bool) {
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -78,6 +78,7 @@
 		r.releaseOpening(before)
 	}
 	t.load.opening++
+	r.unsent = append(r.unsent, k)
 	if evicted, ok := r.pending.put(caller, k, opening{upstream: t.entry.ID, at: now}); ok {
 		r.releaseOpening(evicted)
 	}
--- a/core/bvtoken/removed.go
+++ b/core/bvtoken/removed.go
@@ -31,17 +31,20 @@
 		run = &unackedRun{}
 		r.removed[e.ID] = run
 	}
-	r.observeRemoved(now, k, e.ID, run, p)
+	r.observeRemoved(now, k, e, run, p)
 	if run.crashed(now, removedMinUnacked) {
 		r.dropRequest(k)
-		return r.resetFrom(e, p, ReasonUpstreamRemoved)
+		d := r.resetFrom(e, p, ReasonUpstreamRemoved)
+		d.Evidence = r.evidence(now, run, p)
+		return d
 	}
 	return forward(e, ReasonToken)
 }
 
 // observeRemoved updates the unacknowledged packets of a removed upstream from a
 // packet of an open flow.
-func (r *Router) observeRemoved(now time.Time, k bvflow.Key, id bvconfig.UpstreamID, run *unackedRun, p Packet) {
+func (r *Router) observeRemoved(now time.Time, k bvflow.Key, e *bvcatalog.Entry, run *unackedRun, p Packet) {
+	id := e.ID
 	if q, ok := r.requests.complete(k, p); ok && q.upstream == id {
 		run.reset()
 	}
@@ -55,9 +58,13 @@
 	if q, ok := r.requests.open[k]; ok && q.upstream != id {
 		r.dropRequest(k) // The caller reuses its port.
 	}
-	_, repeats, evicted := r.requests.record(now, k, id, p)
+	_, repeats, sentAt, evicted := r.requests.record(now, k, id, p)
 	r.releaseRequest(evicted)
+	r.unsent = append(r.unsent, k)
 	if repeats {
+		if r.zone(e.Zone).answered.overtook(sentAt, p.ArrivedAfter, r.handshake.timeout()) {
+			run.overtaken++
+		}
 		run.record(now)
 	}
 }
--- a/core/bvtoken/request.go
+++ b/core/bvtoken/request.go
@@ -16,6 +16,9 @@
 	// request.
 	sequence     uint32
 	acknowledged uint32
+	// firstSentAt and sentAt are when the first and the last packet of the request
+	// were sent to the upstream; zero until then.
+	firstSentAt, sentAt time.Time
 }
 
 // requests holds the requests that wait for an answer, by flow. When it is
@@ -30,17 +33,16 @@
 }
 
 // record records a packet with data. It reports whether the packet starts a
-// request, and whether it repeats data that the upstream has not acknowledged.
-// It returns the evicted request; the zero value if there is none.
-func (r *requests) record(now time.Time, k bvflow.Key, u bvconfig.UpstreamID, p Packet) (starts, repeats bool, evicted request) {
+// request, and whether it repeats data that its caller has no acknowledgement of; then
+// sentAt is when that data was last sent. It returns the evicted request; the zero
+// value if there is none.
+func (r *requests) record(now time.Time, k bvflow.Key, u bvconfig.UpstreamID, p Packet) (starts, repeats bool, sentAt time.Time, evicted request) {
 	q, ok := r.open[k]
 	if ok {
-		if p.Sequence == q.sequence {
-			return false, true, request{}
-		}
-		q.sequence = p.Sequence
+		repeats, sentAt = p.Sequence == q.sequence, q.sentAt
+		q.sequence, q.sentAt = p.Sequence, time.Time{}
 		r.open[k] = q
-		return false, false, request{}
+		return false, repeats, sentAt, request{}
 	}
 	q = request{upstream: u, at: now, sequence: p.Sequence, acknowledged: p.Acknowledged}
 	if full, key := r.queue.push(k, now); full {
@@ -48,7 +50,20 @@
 		delete(r.open, key)
 	}
 	r.open[k] = q
-	return true, false, evicted
+	return true, false, time.Time{}, evicted
+}
+
+// recordSent records that the packets of a flow were sent by now.
+func (r *requests) recordSent(now time.Time, k bvflow.Key) {
+	q, ok := r.open[k]
+	if !ok || !q.sentAt.IsZero() {
+		return
+	}
+	q.sentAt = now
+	if q.firstSentAt.IsZero() {
+		q.firstSentAt = now
+	}
+	r.open[k] = q
 }
 
 // complete removes and returns the request of a flow if p shows that it was
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -53,7 +53,9 @@
 		// The caller can repeat the request elsewhere, which is better than waiting
 		// until its deadline.
 		r.dropRequest(k)
-		return r.resetFrom(e, p, ReasonUpstreamSilent)
+		d := r.resetFrom(e, p, ReasonUpstreamSilent)
+		d.Evidence = r.evidence(now, &t.unacked, p)
+		return d
 	}
 	return forward(e, reason)
 }
@@ -121,11 +123,15 @@
 	o, first := r.pending.complete(p.Source.Addr(), k)
 	if first {
 		r.releaseOpening(o)
+		if o.upstream == t.entry.ID {
+			r.recordAnswered(now, t, p, o.sentAt)
+		}
 		r.handshake.record(now.Sub(o.at))
 		r.recordCompletion(t)
 		r.recordAlive(now, t)
 	}
 	if q, ok := r.requests.complete(k, p); ok && q.upstream == t.entry.ID {
+		r.recordAnswered(now, t, p, q.firstSentAt)
 		r.recordAnswer(now, t, now.Sub(q.at))
 	}
 	if p.Phase != bvflow.PhaseEstablished {
@@ -140,8 +146,9 @@
 	if q, ok := r.requests.open[k]; ok && q.upstream != t.entry.ID {
 		r.dropRequest(k) // The caller reuses its port.
 	}
-	starts, repeats, evicted := r.requests.record(now, k, t.entry.ID, p)
+	starts, repeats, sentAt, evicted := r.requests.record(now, k, t.entry.ID, p)
 	r.releaseRequest(evicted)
+	r.unsent = append(r.unsent, k)
 	switch {
 	case starts:
 		t.load.open++
@@ -149,6 +156,9 @@
 			t.load.add(now, 1)
 		}
 	case repeats:
+		if t.zone.answered.overtook(sentAt, p.ArrivedAfter, r.handshake.timeout()) {
+			t.unacked.overtaken++
+		}
 		r.recordRetransmission(now, t, false)
 	}
 }
--- a/io/bvdaemon/bench_test.go
+++ b/io/bvdaemon/bench_test.go
@@ -13,6 +13,7 @@
 	"balsamvane/io/bvsettings"
 	"balsamvane/io/bvtunnel"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 )
@@ -48,7 +49,7 @@
 	}()
 	senders := make([]*bvtunnel.Socket, 4)
 	for i := range senders {
-		s, err := bvtunnel.Listen(b.Context(), netip.MustParseAddrPort("127.0.0.1:0"), 1)
+		s, err := bvtunnel.Listen(b.Context(), netip.MustParseAddrPort("127.0.0.1:0"), 1, clockwork.NewRealClock())
 		require.NoError(b, err)
 		senders[i] = s[0]
 	}
@@ -87,7 +88,7 @@
 // BenchmarkBareRelay measures a relay that only copies datagrams, for comparison.
 func BenchmarkBareRelay(b *testing.B) {
 	local := netip.MustParseAddrPort("127.0.0.1:0")
-	destination, err := bvtunnel.Listen(b.Context(), local, 1)
+	destination, err := bvtunnel.Listen(b.Context(), local, 1, clockwork.NewRealClock())
 	require.NoError(b, err)
 	to := destination[0].Address()
 	relay, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(local))
--- a/io/bvdaemon/bvdaemon.go
+++ b/io/bvdaemon/bvdaemon.go
@@ -176,10 +176,10 @@
 func (d *Daemon) listen() error {
 	ctx, l := context.Background(), &net.ListenConfig{}
 	var err error
-	if d.fabricSockets, err = bvtunnel.Listen(ctx, d.settings.Listen.Fabric, socketsPerAddress); err != nil {
+	if d.fabricSockets, err = bvtunnel.Listen(ctx, d.settings.Listen.Fabric, socketsPerAddress, d.clock); err != nil {
 		return err
 	}
-	if d.peerSockets, err = bvtunnel.Listen(ctx, d.settings.Listen.Peer, socketsPerAddress); err != nil {
+	if d.peerSockets, err = bvtunnel.Listen(ctx, d.settings.Listen.Peer, socketsPerAddress, d.clock); err != nil {
 		return err
 	}
 	if d.controlListener, err = l.Listen(ctx, "tcp", d.settings.Listen.Control.String()); err != nil {
--- a/io/bvdaemon/bvdaemon_test.go
+++ b/io/bvdaemon/bvdaemon_test.go
@@ -99,7 +99,7 @@
 // startHarnessWith runs a daemon with the node that wrap returns.
 func startHarnessWith(t testing.TB, log *zap.Logger, wrap func(*fakeNode, *bvsettings.Settings) Node) *harness {
 	local := netip.MustParseAddrPort("127.0.0.1:0")
-	remote, err := bvtunnel.Listen(t.Context(), local, 1)
+	remote, err := bvtunnel.Listen(t.Context(), local, 1, clockwork.NewRealClock())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = remote[0].Close() })
 	key := filepath.Join(t.TempDir(), "key")
@@ -342,7 +342,7 @@
 func TestBusyQueueDropsOpenings(t *testing.T) {
 	h := startHarness(t)
 	q := newQueue(400)
-	sockets, err := bvtunnel.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), 1)
+	sockets, err := bvtunnel.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), 1, clockwork.NewRealClock())
 	require.NoError(t, err)
 	defer func() { _ = sockets[0].Close() }()
 	r := &reader{daemon: h.daemon, socket: sockets[0], queue: q, decode: (*reader).fromFabric}
--- a/io/bvforwarder/bvforwarder.go
+++ b/io/bvforwarder/bvforwarder.go
@@ -142,7 +142,7 @@
 
 func (w *Forwarder) listen() error {
 	ctx, l := context.Background(), &net.ListenConfig{}
-	sockets, err := bvtunnel.Listen(ctx, w.settings.Listen.Fabric, 1)
+	sockets, err := bvtunnel.Listen(ctx, w.settings.Listen.Fabric, 1, w.clock)
 	if err != nil {
 		return err
 	}
--- a/io/bvforwarder/counters.go
+++ b/io/bvforwarder/counters.go
@@ -17,6 +17,11 @@
 	// of a batch; batchPackets is its number of packets.
 	batchDuration tally.Histogram
 	batchPackets  tally.Histogram
+	// readWait is the longest time for which the packets of a batch may have waited in
+	// the socket; lockWait is how long the batch then waited for the router.
+	readWait, lockWait tally.Histogram
+	// applyDuration is the time for which the router waits while an answer is applied.
+	applyDuration tally.Histogram
 	// changeLag is the age of an answer with changes when this balancer applied it.
 	changeLag       tally.Histogram
 	catalogAge      tally.Gauge
@@ -33,6 +38,9 @@
 		sendFailed:      s.Counter("sendFailed"),
 		panics:          s.Counter("panics"),
 		batchDuration:   s.Histogram("packetSeconds", tally.MustMakeExponentialDurationBuckets(10*time.Microsecond, 4, 9)),
+		readWait:        s.Histogram("readWaitSeconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 4, 7)),
+		lockWait:        s.Histogram("lockWaitSeconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 4, 7)),
+		applyDuration:   s.Histogram("applySeconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 4, 7)),
 		changeLag:       s.Histogram("changeLagSeconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 4, 8)),
 		batchPackets:    s.Histogram("batchPackets", tally.MustMakeExponentialValueBuckets(1, 2, 6)),
 		catalogAge:      s.Gauge("catalogAgeSeconds"),
--- a/io/bvforwarder/decisionlog.go
+++ b/io/bvforwarder/decisionlog.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // The budgets of lines about decisions, for each reason.
@@ -18,6 +19,7 @@
 	forwardLinesPerSecond = 25 // Forwarded openings, the usual case.
 	resetLinesPerSecond   = 25
 	dropLinesPerSecond    = 5
+	waitLinesPerSecond    = 5 // Batches that waited long.
 )
 
 // suppressedInterval is the time between two reports of suppressed lines.
@@ -29,12 +31,13 @@
 type decisionLog struct {
 	log        *zap.Logger
 	budgets    [3][]*bvlog.Budget // By verdict and reason.
+	waits      *bvlog.Budget      // Of lines about batches that waited long.
 	suppressed tally.Counter
 	reportedAt time.Time
 }
 
 func newDecisionLog(log *zap.Logger, clock clockwork.Clock, s tally.Scope) *decisionLog {
-	l := &decisionLog{log: log, suppressed: s.Counter("logLinesLeftOut"), reportedAt: clock.Now()}
+	l := &decisionLog{log: log, waits: bvlog.NewBudget(clock, waitLinesPerSecond), suppressed: s.Counter("logLinesLeftOut"), reportedAt: clock.Now()}
 	for v, lines := range map[bvtoken.Verdict]int{
 		bvtoken.VerdictForward: forwardLinesPerSecond, bvtoken.VerdictReset: resetLinesPerSecond, bvtoken.VerdictDrop: dropLinesPerSecond,
 	} {
@@ -61,7 +64,10 @@
 	if d.Verdict == bvtoken.VerdictForward && !opening || !l.budgets[d.Verdict][d.Reason].Allow() {
 		return
 	}
-	address := zap.Skip()
+	address, evidence := zap.Skip(), zap.Skip()
+	if d.Evidence.Unacked > 0 {
+		evidence = zap.Inline(evidenceFields(d.Evidence))
+	}
 	if d.Address.IsValid() {
 		address = zap.Stringer("address", d.Address)
 	}
@@ -69,10 +75,23 @@
 		zap.Stringer("source", p.Source), zap.Stringer("destination", p.Destination),
 		zap.Bool("opening", opening), zap.Uint32("copy", p.Retransmissions), zap.Uint32("callerToken", uint32(p.Token)),
 		zap.Stringer("verdict", d.Verdict), zap.Stringer("reason", d.Reason),
-		zap.Uint32("token", uint32(d.Token)), zap.Uint64("upstream", uint64(d.Upstream)), address,
+		zap.Uint32("token", uint32(d.Token)), zap.Uint64("upstream", uint64(d.Upstream)), address, evidence,
 		zap.Duration("catalogAge", s.age), zap.Duration("watermarkAge", s.watermarkAge), zap.Int64("revision", s.revision.Number), zap.Uint64("era", s.revision.Era), zap.Uint64("version", s.version))
 }
 
+// evidenceFields are the fields of a decision that rests on unacknowledged packets.
+type evidenceFields bvtoken.Evidence
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (e evidenceFields) MarshalLogObject(o zapcore.ObjectEncoder) error {
+	o.AddInt("unacked", e.Unacked)
+	o.AddDuration("unackedFor", e.UnackedFor)
+	o.AddInt("overtaken", e.Overtaken)
+	o.AddDuration("answerTime", e.AnswerTime)
+	o.AddDuration("readWait", e.ReadWait)
+	return nil
+}
+
 // reportSuppressed logs the numbers of suppressed lines, once per interval.
 func (l *decisionLog) reportSuppressed(now time.Time) {
 	if now.Sub(l.reportedAt) < suppressedInterval {
--- a/io/bvforwarder/loop.go
+++ b/io/bvforwarder/loop.go
@@ -6,6 +6,8 @@
 	"balsamvane/core/bvflow"
 	"balsamvane/core/bvtoken"
 	"balsamvane/io/bvtunnel"
+
+	"go.uber.org/zap"
 )
 
 // item is one decoded packet of a batch.
@@ -21,6 +23,10 @@
 	in        *bvtunnel.InBatch
 	out       *bvtunnel.OutBatch
 	items     []item
+	// lockWait is how long the last batch waited for the router.
+	lockWait time.Duration
+	// unreported is true if the router does not know yet that the last batch was written.
+	unreported bool
 }
 
 func newLoop(w *Forwarder) *loop {
@@ -37,12 +43,14 @@
 	l.decode()
 	now := w.clock.Now()
 	s := l.decideLocked(now)
+	l.reportWait(now)
 	for i := range l.items {
 		l.tryRun(func() { l.execute(&l.items[i], s) })
 	}
 	if n := w.socket.Write(l.out); n > 0 {
 		w.counters.sendFailed.Inc(int64(n))
 	}
+	l.unreported = true
 	w.counters.batchPackets.RecordValue(float64(l.in.Len()))
 	w.counters.batchDuration.RecordDuration(w.clock.Since(now))
 }
@@ -57,6 +65,7 @@
 			l.forwarder.counters.countPacket(bvtoken.VerdictDrop, bvtoken.ReasonMalformed)
 			continue
 		}
+		it.packet.ArrivedAfter = l.in.ArrivedAfter()
 		l.items = append(l.items, it)
 	}
 }
@@ -67,6 +76,7 @@
 	w := l.forwarder
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	l.lockWait = w.clock.Since(now)
 	l.decide(now)
 	return catalogState{
 		age: w.catalog.Age(now), watermarkAge: now.Sub(w.catalog.Watermark()), revision: w.catalog.Revision(), version: w.catalog.Version(),
@@ -89,12 +99,44 @@
 
 // route decides on one packet. The caller holds the forwarder's mutex.
 func (l *loop) route(now time.Time, it *item) {
-	if !l.tryRun(func() { it.decision = l.forwarder.router.Route(now, it.packet) }) {
+	if !l.tryRun(func() {
+		l.reportSent()
+		it.decision = l.forwarder.router.Route(now, it.packet)
+	}) {
 		it.decision = bvtoken.Decision{Verdict: bvtoken.VerdictDrop, Reason: bvtoken.ReasonInternal}
 		l.forwarder.resetRouter()
 	}
 }
 
+// reportSent tells the router that the last batch was written before this one was
+// read. The caller holds the forwarder's mutex.
+func (l *loop) reportSent() {
+	if l.unreported {
+		l.unreported = false
+		l.forwarder.router.Sent(l.in.ReadStart())
+	}
+}
+
+// longWait is the wait of a packet from which a line is logged. Callers repeat their
+// packets after a few of these.
+const longWait = 100 * time.Millisecond
+
+// reportWait records how long the batch may have waited to be read, and for the
+// router.
+func (l *loop) reportWait(now time.Time) {
+	w := l.forwarder
+	arrivedAfter := l.in.ArrivedAfter()
+	if arrivedAfter.IsZero() {
+		return
+	}
+	wait := now.Sub(arrivedAfter)
+	w.counters.readWait.RecordDuration(wait)
+	w.counters.lockWait.RecordDuration(l.lockWait)
+	if wait+l.lockWait >= longWait && w.decisions.waits.Allow() {
+		w.log.Info("packets waited", zap.Duration("readWait", wait), zap.Duration("lockWait", l.lockWait), zap.Int("packets", l.in.Len()))
+	}
+}
+
 func (l *loop) execute(it *item, s catalogState) {
 	w, d := l.forwarder, it.decision
 	w.counters.countPacket(d.Verdict, d.Reason)
--- a/io/bvforwarder/state.go
+++ b/io/bvforwarder/state.go
@@ -36,6 +36,7 @@
 			w.counters.changeLag.RecordDuration(l.Age)
 		}
 	}
+	w.counters.applyDuration.RecordDuration(w.clock.Since(now))
 	close(w.catalogChanged)
 	w.catalogChanged = make(chan struct{})
 	w.signalComplete()
--- a/io/bvtunnel/bvtunnel_test.go
+++ b/io/bvtunnel/bvtunnel_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/gopacket/gopacket"
 	"github.com/gopacket/gopacket/layers"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -277,11 +278,11 @@
 // TestSocket guards against batches that lose, merge or reorder packets.
 func TestSocket(t *testing.T) {
 	for _, addr := range []string{"127.0.0.1:0", "[::1]:0"} {
-		s, err := Listen(t.Context(), mustAddrPort(addr), 2)
+		s, err := Listen(t.Context(), mustAddrPort(addr), 2, clockwork.NewRealClock())
 		require.NoError(t, err)
 		require.Equal(t, s[0].Address(), s[1].Address())
 		require.NoError(t, s[1].Close())
-		sender, err := Listen(t.Context(), mustAddrPort(addr), 1)
+		sender, err := Listen(t.Context(), mustAddrPort(addr), 1, clockwork.NewRealClock())
 		require.NoError(t, err)
 		out := NewOutBatch()
 		for i := range 5 {
@@ -302,3 +303,35 @@
 		require.NoError(t, sender[0].Close())
 	}
 }
+
+// TestArrivedAfter guards against packets that count as arrived when they were read,
+// although they waited in the socket while the process was busy.
+func TestArrivedAfter(t *testing.T) {
+	addr := mustAddrPort("127.0.0.1:0")
+	s, err := Listen(t.Context(), addr, 1, clockwork.NewRealClock())
+	require.NoError(t, err)
+	sender, err := Listen(t.Context(), addr, 1, clockwork.NewRealClock())
+	require.NoError(t, err)
+	send := func(n int) {
+		for range n {
+			require.NoError(t, sender[0].Send([]byte{1}, s[0].Address()))
+		}
+	}
+	in := NewInBatch()
+	for _, n := range []int{1, BatchSize - 1, BatchSize, 3*BatchSize + 1} {
+		sent := time.Now()
+		send(n)
+		for read := 0; read < n; read += in.Len() {
+			require.NoError(t, s[0].Read(in))
+			require.False(t, in.ArrivedAfter().After(sent), "the packets were sent before the first read")
+		}
+	}
+	require.Eventually(t, func() bool {
+		waiting := time.Now()
+		time.AfterFunc(2*maxReadWait, func() { send(1) })
+		require.NoError(t, s[0].Read(in))
+		return in.ArrivedAfter().After(waiting)
+	}, 20*time.Second, time.Millisecond, "a packet that was awaited did not wait")
+	require.NoError(t, s[0].SetReadDeadline(time.Now()))
+	require.ErrorIs(t, s[0].Read(in), os.ErrDeadlineExceeded)
+}
--- a/io/bvtunnel/socket.go
+++ b/io/bvtunnel/socket.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
+	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/ipv4"
 	"golang.org/x/sys/unix"
@@ -19,16 +23,27 @@
 // holds about 3,000 packets of typical size, 1 ms at a million packets/s.
 const socketBuffer = 4 << 20
 
+// maxReadWait is how long a read waits for a packet before it checks again that
+// the socket is empty. It bounds how far [InBatch.ArrivedAfter] is before the
+// arrival of a packet that did not wait.
+const maxReadWait = 50 * time.Millisecond
+
 // Socket is a UDP socket. Several sockets can share an address. The kernel then
 // distributes packets over them by source, which keeps a flow's order.
 type Socket struct {
 	conn  *net.UDPConn
 	batch *ipv4.PacketConn
+	clock clockwork.Clock
+	// deadline ends reads; nil if none is set.
+	deadline atomic.Pointer[time.Time]
+	// emptyAfter is a time after which the socket was empty; zero if it never was.
+	emptyAfter time.Time
 }
 
 // Listen opens n sockets that share an address. With port 0 all use the port
-// that the kernel assigns to the first one.
-func Listen(ctx context.Context, addr netip.AddrPort, n int) ([]*Socket, error) {
+// that the kernel assigns to the first one. The clock tells when packets arrived;
+// see [InBatch].
+func Listen(ctx context.Context, addr netip.AddrPort, n int, clock clockwork.Clock) ([]*Socket, error) {
 	lc := net.ListenConfig{Control: setReusePort}
 	var out []*Socket
 	for range n {
@@ -44,7 +59,7 @@
 		_ = u.SetReadBuffer(socketBuffer)
 		_ = u.SetWriteBuffer(socketBuffer)
 		// ipv4.PacketConn reads and writes batches of either address family.
-		out = append(out, &Socket{conn: u, batch: ipv4.NewPacketConn(u)})
+		out = append(out, &Socket{conn: u, batch: ipv4.NewPacketConn(u), clock: clock})
 		addr = u.LocalAddr().(*net.UDPAddr).AddrPort()
 	}
 	return out, nil
@@ -70,7 +85,25 @@
 func (s *Socket) Close() error { return s.conn.Close() }
 
 // SetReadDeadline makes reads fail after t, in the time of the system clock.
-func (s *Socket) SetReadDeadline(t time.Time) error { return s.conn.SetReadDeadline(t) }
+func (s *Socket) SetReadDeadline(t time.Time) error {
+	s.deadline.Store(&t)
+	return s.conn.SetReadDeadline(t)
+}
+
+// nextReadDeadline returns when the next wait for a packet ends.
+func (s *Socket) nextReadDeadline() time.Time {
+	t := time.Now().Add(maxReadWait)
+	if d := s.deadline.Load(); d != nil && d.Before(t) {
+		return *d
+	}
+	return t
+}
+
+// expired reports whether the deadline of SetReadDeadline has passed.
+func (s *Socket) expired() bool {
+	d := s.deadline.Load()
+	return d != nil && !time.Now().Before(*d)
+}
 
 // Send sends one packet.
 func (s *Socket) Send(b []byte, to netip.AddrPort) error {
@@ -79,9 +112,15 @@
 }
 
 // InBatch is a batch of received packets. It reuses its memory.
+//
+// Packets may have waited in the socket's buffer for as long as the process was
+// busy or paused, so the time of the read tells only by when they had arrived.
+// The kernel's timestamps do not help: they use the time of day, which may jump.
 type InBatch struct {
-	messages []ipv4.Message
-	count    int
+	messages     []ipv4.Message
+	count        int
+	readStart    time.Time
+	arrivedAfter time.Time
 }
 
 // NewInBatch returns an empty batch of BatchSize packets.
@@ -97,18 +136,52 @@
 // Len returns the number of packets.
 func (b *InBatch) Len() int { return b.count }
 
+// ReadStart returns the time at which the read began.
+func (b *InBatch) ReadStart() time.Time { return b.readStart }
+
+// ArrivedAfter returns a time after which all packets of the batch arrived. All
+// packets that had arrived by then were in earlier batches. It is the zero value
+// if no such time is known.
+func (b *InBatch) ArrivedAfter() time.Time { return b.arrivedAfter }
+
 // Packet returns packet i; it is valid until the next Read.
 func (b *InBatch) Packet(i int) []byte { return b.messages[i].Buffers[0][:b.messages[i].N] }
 
-// Read waits for at least one packet and fills b.
+// Read waits for at least one packet and fills b. It must not be called
+// concurrently.
 func (s *Socket) Read(b *InBatch) error {
-	b.count = 0
-	n, err := s.batch.ReadBatch(b.messages, 0)
-	if err != nil {
+	b.readStart = s.clock.Now()
+	for {
+		err := s.readOnce(b)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || s.expired() {
+			return err
+		}
+	}
+}
+
+// readOnce reads the packets that wait, or waits for at most maxReadWait.
+func (s *Socket) readOnce(b *InBatch) error {
+	start := s.clock.Now()
+	if err := s.conn.SetReadDeadline(s.nextReadDeadline()); err != nil {
 		return err
 	}
-	b.count = n
-	return nil
+	err := s.fill(b, unix.MSG_DONTWAIT)
+	if errors.Is(err, unix.EAGAIN) {
+		s.emptyAfter = start
+		return s.fill(b, 0)
+	}
+	if err == nil && b.count < len(b.messages) {
+		s.emptyAfter = start // No more packets waited.
+	}
+	return err
+}
+
+// fill reads one batch with the flags of recvmmsg.
+func (s *Socket) fill(b *InBatch, flags int) error {
+	b.count, b.arrivedAfter = 0, s.emptyAfter
+	n, err := s.batch.ReadBatch(b.messages, flags)
+	b.count = max(n, 0)
+	return err
 }
 
 // OutBatch is a batch of packets to send. It reuses its memory.
