--- a/core/bvtoken/fixture_test.go
+++ b/core/bvtoken/fixture_test.go
@@ -136,9 +136,20 @@
 	}
 }
 
+// route decides on a packet that has just arrived, and sends it at once.
+func (f *fixture) route(p Packet) Decision { return f.routeWaiting(p, f.now) }
+
+// routeWaiting decides on a packet that arrived after a time, and sends it at once.
+func (f *fixture) routeWaiting(p Packet, arrivedAfter time.Time) Decision {
+	p.ArrivedAfter = arrivedAfter
+	d := f.router.Route(f.now, p)
+	f.router.Sent(f.now)
+	return d
+}
+
 // open sends the opening packet.
 func (f *fixture) open(x *flow) Decision {
-	d := f.router.Route(f.now, Packet{Packet: bvflow.Packet{Tuple: x.tuple, Phase: bvflow.PhaseOpening}})
+	d := f.route(Packet{Packet: bvflow.Packet{Tuple: x.tuple, Phase: bvflow.PhaseOpening}})
 	if d.Verdict == VerdictForward {
 		x.token, x.upstream = d.Token, d.Upstream
 	}
@@ -150,19 +161,19 @@
 	if !repeat {
 		x.sequence += 200
 	}
-	return f.router.Route(f.now, x.packet(bvflow.PhaseEstablished, 200))
+	return f.route(x.packet(bvflow.PhaseEstablished, 200))
 }
 
 // answer sends the caller's acknowledgement of the answer to its request.
 func (f *fixture) answer(x *flow) Decision {
 	x.acked += 1000
-	return f.router.Route(f.now, x.packet(bvflow.PhaseEstablished, 0))
+	return f.route(x.packet(bvflow.PhaseEstablished, 0))
 }
 
 // connect opens a flow whose upstream answers.
 func (f *fixture) connect(to netip.AddrPort) *flow {
 	x := f.newFlow(to)
 	f.open(x)
-	f.router.Route(f.now, x.packet(bvflow.PhaseEstablished, 0))
+	f.route(x.packet(bvflow.PhaseEstablished, 0))
 	return x
 }
--- a/core/bvtoken/flood_test.go
+++ b/core/bvtoken/flood_test.go
@@ -120,7 +120,7 @@
 // sendForged sends an opening that is never completed.
 func (f *flood) sendForged() {
 	source := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(f.random.Uint32()), byte(f.random.Uint32()), byte(f.random.Uint32())}), uint16(f.random.Uint32()))
-	f.router.Route(f.now, Packet{Packet: bvflow.Packet{
+	f.route(Packet{Packet: bvflow.Packet{
 		Tuple: bvflow.Tuple{Source: source, Destination: tickets, Protocol: bvflow.ProtocolTCP}, Phase: bvflow.PhaseOpening,
 	}})
 }
--- a/core/bvtoken/place_test.go
+++ b/core/bvtoken/place_test.go
@@ -177,7 +177,7 @@
 				f.answer(x)
 			}
 			if closes && len(hanging) > 2 { // The caller closes the flow.
-				f.router.Route(f.now, hanging[0].packet(bvflow.PhaseClosing, 0))
+				f.route(hanging[0].packet(bvflow.PhaseClosing, 0))
 				hanging = hanging[1:]
 			}
 		}
--- a/core/bvtoken/pools_test.go
+++ b/core/bvtoken/pools_test.go
@@ -34,7 +34,7 @@
 					f.catalog.RecordAnswer(f.now, 0)
 					x := f.newFlow(tickets)
 					if d := f.open(x); d.Verdict == VerdictForward && !tt.unresponsive {
-						f.router.Route(f.now, x.packet(bvflow.PhaseEstablished, 0))
+						f.route(x.packet(bvflow.PhaseEstablished, 0))
 					}
 				}
 				openings := uint64(4 * n)
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -95,7 +95,7 @@
 		{"reset of a flow whose upstream has left", nil, func(f *fixture) Decision {
 			x := f.connect(tickets)
 			f.leave(x.upstream)
-			return f.router.Route(f.now, x.packet(bvflow.PhaseReset, 0))
+			return f.route(x.packet(bvflow.PhaseReset, 0))
 		}, VerdictDrop, ReasonUpstreamRemoved},
 		{"route was removed", nil, func(f *fixture) Decision {
 			x := f.connect(feeds)
