core/bvtoken: take a packet for unanswered only if a later one was answered

Callers saw open flows reset at upstreams that served them (FLOW), while a large configuration spread over the balancers.

Cause: a repeated packet counted as one that the upstream had not acknowledged, whatever had made it late. A balancer decodes and applies a configuration beside its packets, and sends it to up to 16 followers over its own link. Packets and their copies then wait in its socket, or the forwarded packet or its answer waits in its link. Three copies of any flows, while other upstreams answered, reset all flows of the upstream.

Change: packets leave a balancer in order, and their answers are read in order. A packet was not answered if another one that was sent well after it has been answered. That holds however long packets wait in the process or its links. If nothing was sent after it, the time from its sending to the arrival of the copy counts, not to its reading. It applies to crashed and removed upstreams, to the ejection of upstreams and zones, and to openings without a further packet; isolation of the balancer itself needs the time only. Handshakes and latencies are measured only if the packet was read promptly. What a single caller's packets show ends only flows of that caller: it may be the one that gets no packets.

crash_test reads the zone's newest answered packet, which replaces the time of the zone's last answer.

--- a/core/bvtoken/answered.go
+++ b/core/bvtoken/answered.go
@@ -2,62 +2,82 @@
 
 import "time"
 
-// newestAnswered tracks the most recently sent packet that was answered. Packets
-// leave this balancer in order, and so do answers reach it. So an earlier packet that
-// is repeated after that answer has arrived was not answered, however long packets
-// wait in this process or in its links. RFC 8985 detects lost packets in this way.
+// newestAnswered tracks the most recently sent packet that was answered. Packets leave
+// this balancer in order, and the answers to them are read in order. So when a packet
+// that was sent well after another one is answered first, the other one was not
+// answered, however long packets and answers wait in this process or in its links.
+// RFC 8985 detects lost packets in the same way.
 type newestAnswered struct {
-	sentAt time.Time // Zero if there is none.
-	// next is answered as well, but the answers to packets sent before it may still
-	// be on their way.
-	next sentPacket
+	sentAt time.Time // Zero if no packet was answered.
+	// before is sentAt without the answers of the batch.
+	before time.Time
+	batch  uint64
 }
 
-// sentPacket is a packet whose answer was read.
-type sentPacket struct{ sentAt, readAt time.Time }
-
-// record records that the answer to a packet was read. The answer arrived after a
-// time. window is by how much answers may be out of order.
-func (n *newestAnswered) record(now, arrivedAfter, sentAt time.Time, window time.Duration) {
-	if sentAt.IsZero() {
-		return
+// record records that a packet sent at a time was answered by one of a batch.
+func (n *newestAnswered) record(batch uint64, sentAt time.Time) {
+	if n.batch != batch {
+		n.batch, n.before = batch, n.sentAt
 	}
-	n.settle(arrivedAfter, window)
-	if n.next.sentAt.IsZero() {
-		n.next = sentPacket{sentAt: sentAt, readAt: now}
+	if sentAt.After(n.sentAt) {
+		n.sentAt = sentAt
 	}
 }
 
-// settle takes the next packet into account if all answers that it may have overtaken
-// had arrived by a time.
-func (n *newestAnswered) settle(arrived time.Time, window time.Duration) {
-	if n.next.sentAt.IsZero() || arrived.Sub(n.next.readAt) < window {
-		return
-	}
-	if n.next.sentAt.After(n.sentAt) {
-		n.sentAt = n.next.sentAt
+// beforeBatch returns when the most recently sent packet was sent that was answered
+// before a batch, whose packets are not routed in the order of their arrival.
+func (n *newestAnswered) beforeBatch(batch uint64) time.Time {
+	if n.batch == batch {
+		return n.before
 	}
-	n.next = sentPacket{}
-}
-
-// overtook reports whether a packet that was sent after a time was answered, and every
-// answer to an earlier one had arrived before a packet that arrived after another time.
-func (n *newestAnswered) overtook(sentAt, arrivedAfter time.Time, window time.Duration) bool {
-	n.settle(arrivedAfter, window)
-	return !sentAt.IsZero() && n.sentAt.After(sentAt)
+	return n.sentAt
 }
 
-// recordAnswered records that the packet sent to an upstream at a time was answered by
-// the packet p of its caller.
-func (r *Router) recordAnswered(now time.Time, t *target, p Packet, sentAt time.Time) {
-	t.zone.answered.record(now, p.ArrivedAfter, sentAt, r.handshake.timeout())
+// recordAnswered records that the packet sent to an upstream at a time was answered.
+func (r *Router) recordAnswered(t *target, sentAt time.Time) {
+	r.answered.record(r.batch, sentAt)
+	t.zone.answered.record(r.batch, sentAt)
 }
 
-// Sent records that the packets of all decisions before were sent by now.
+// Sent records that the packets of all decisions before were sent by now. They are a
+// batch: their order need not be that of their arrival.
 func (r *Router) Sent(now time.Time) {
 	for _, k := range r.unsent {
 		r.requests.recordSent(now, k)
 		r.pending.recordSent(now, k)
+		r.newestSent = now
 	}
 	r.unsent = r.unsent[:0]
+	r.batch++
 }
+
+// waited reports whether the time in which a packet is usually answered had passed
+// between its sending and the arrival of p.
+func (r *Router) waited(sentAt time.Time, p Packet) bool {
+	return !sentAt.IsZero() && p.ArrivedAfter.Sub(sentAt) >= r.handshake.timeout()
+}
+
+// overtaken reports whether a packet that was sent well after a time is the newest
+// answered one. Answers may be out of order by the time in which they usually come,
+// since upstreams and callers are at different distances.
+func (r *Router) overtaken(sentAt time.Time, newest *newestAnswered) bool {
+	return newest.beforeBatch(r.batch).Sub(sentAt) >= r.handshake.timeout()
+}
+
+// unanswered reports whether the arrival of p shows that the upstream did not answer a
+// packet sent at a time. If packets sent later are not answered either, their answers
+// may all be late because of this balancer.
+func (r *Router) unanswered(sentAt time.Time, p Packet) bool {
+	if !r.waited(sentAt, p) {
+		return false
+	}
+	isNewest := r.newestSent.Sub(sentAt) < r.handshake.timeout()
+	return isNewest || r.overtaken(sentAt, &r.answered)
+}
+
+// maxReadDelay is how long a packet may have waited to be read for the time of the read
+// to count as the time of its arrival in a measurement.
+const maxReadDelay = 100 * time.Millisecond
+
+// readPromptly reports whether p was read soon after its arrival.
+func readPromptly(now time.Time, p Packet) bool { return now.Sub(p.ArrivedAfter) <= maxReadDelay }
--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -161,6 +161,9 @@
 	requests   requests
 	// unsent holds the flows whose last packet has not been sent yet.
 	unsent         []bvflow.Key
+	batch          uint64         // Number of the batch of packets that is being routed.
+	newestSent     time.Time      // When a packet that upstreams answer was last sent.
+	answered       newestAnswered // Of the packets to all upstreams.
 	handshake      handshakeTime
 	incompleteRuns incompleteRuns
 	recent         recentOpenings
--- a/core/bvtoken/crash_test.go
+++ b/core/bvtoken/crash_test.go
@@ -135,7 +135,7 @@
 			started := f.now
 			if !open() {
 				refused++
-			} else if f.router.zones["zone-a"].lastAnswer.After(started) {
+			} else if f.router.zones["zone-a"].answered.sentAt.After(started) {
 				inZone++
 			}
 			f.advance(interval - 3*time.Millisecond)
--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -1,6 +1,7 @@
 package bvtoken
 
 import (
+	"net/netip"
 	"time"
 
 	"balsamvane/core/bvconfig"
@@ -24,30 +25,41 @@
 	count int       // Unacknowledged packets since the last answer.
 	first time.Time // Time of the first of them.
 	last  time.Time
-	// overtaken is how many of them were repeated after the answer to a packet had
-	// arrived that was sent later.
+	// overtaken is how many of them were sent well before a packet to another upstream
+	// of the zone that was answered.
 	overtaken int
+	// repeats counts the repeated packets since the last answer, including those that
+	// do not show that a packet was not acknowledged.
+	repeats int
+	// caller sent the first unacknowledged packet; others is true if another one sent
+	// a later one.
+	caller netip.Addr
+	others bool
 }
 
 func (s *unackedRun) reset() { *s = unackedRun{} }
 
-func (s *unackedRun) record(now time.Time) {
+func (s *unackedRun) record(now time.Time, caller netip.Addr) {
 	if s.count == 0 {
-		s.first = now
+		s.first, s.caller = now, caller
 	}
 	s.count++
 	s.last = now
+	s.others = s.others || s.caller != caller
 }
 
 // Evidence is what shows that an upstream does not answer.
 type Evidence struct {
-	// Unacked is the number of repeated packets since the upstream's last answer, the
-	// first of them UnackedFor ago.
+	// Unacked is the number of unacknowledged packets since the upstream's last answer,
+	// the first of them UnackedFor ago.
 	Unacked    int
 	UnackedFor time.Duration
-	// Overtaken is how many of them were repeated after the answer to a packet had
-	// arrived that was sent later. The others may be late in this process or its links.
+	// Overtaken is how many of them were sent well before a packet to another upstream
+	// of the zone that was answered.
 	Overtaken int
+	// Repeats is the number of packets that callers have repeated since that answer.
+	// The other ones may have been late in this process or its links.
+	Repeats int
 	// AnswerTime is the usual time from an opening to the next packet of its caller.
 	AnswerTime time.Duration
 	// ReadWait is the longest time for which the packet may have waited to be read.
@@ -57,15 +69,17 @@
 // evidence returns what a run shows at a packet.
 func (r *Router) evidence(now time.Time, run *unackedRun, p Packet) Evidence {
 	return Evidence{
-		Unacked: run.count, UnackedFor: now.Sub(run.first), Overtaken: run.overtaken,
+		Unacked: run.count, UnackedFor: now.Sub(run.first), Overtaken: run.overtaken, Repeats: run.repeats,
 		AnswerTime: r.handshake.mean, ReadWait: now.Sub(p.ArrivedAfter),
 	}
 }
 
-// crashed reports whether the run shows that the upstream has crashed: it has at
-// least minUnacked packets, is not a burst of losses at one moment, and is recent.
-func (s *unackedRun) crashed(now time.Time, minUnacked int) bool {
-	return s.count >= minUnacked && s.last.Sub(s.first) >= crashMinDuration && now.Sub(s.last) < crashRetryAfter
+// convinces reports whether the run, if it has enough packets, shows a caller that the
+// upstream has crashed: it is not a burst of losses at one moment, and is recent. The
+// packets of a single caller show that only to this caller, which may get no packets
+// itself.
+func (s *unackedRun) convinces(now time.Time, caller netip.Addr) bool {
+	return s.last.Sub(s.first) >= crashMinDuration && now.Sub(s.last) < crashRetryAfter && (s.others || s.caller == caller)
 }
 
 // A balancer counts as isolated from all upstreams after isolatedMinUnacked
@@ -115,13 +129,11 @@
 	upstreamChanges int                 // Changes of lastUpstream since the last answer.
 	lastUpstream    bvconfig.UpstreamID // The last upstream that left a packet unacknowledged.
 	downUntil       time.Time
-	lastAnswer      time.Time
-	answered        newestAnswered // Of all packets to the zone.
+	answered        newestAnswered // Of the packets to the zone.
 }
 
-func (z *zoneHealth) recordAnswer(now time.Time) {
-	*z = zoneHealth{lastAnswer: now, answered: z.answered}
-}
+// recordAnswer records that an upstream of the zone has answered.
+func (z *zoneHealth) recordAnswer() { *z = zoneHealth{answered: z.answered} }
 
 // recordUnacked records an unacknowledged packet to u. The zone counts as down
 // after at least threshold of them in a row, at several upstreams.
--- a/core/bvtoken/pending.go
+++ b/core/bvtoken/pending.go
@@ -14,6 +14,8 @@
 	at       time.Time
 	// sentAt is when the opening was sent to the upstream; zero until then.
 	sentAt time.Time
+	// repeated is true if the caller has repeated the opening.
+	repeated bool
 	// counted is true if the opening already counts as unanswered.
 	counted bool
 }
@@ -48,10 +50,13 @@
 	return o, ok
 }
 
-// nextOverdue marks as counted and returns the next opening that was placed
-// before t and is not counted yet.
-func (p *pending) nextOverdue(t time.Time) (opening, bool) {
-	k, ok := p.uncounted.popBefore(t, func(e timedKey) bool { return p.isCurrent(e) && !p.openings[e.key].counted })
+// nextOverdue marks as counted and returns the oldest opening that is not counted
+// yet, if unanswered is true for the time at which it was sent.
+func (p *pending) nextOverdue(unanswered func(sentAt time.Time) bool) (opening, bool) {
+	k, ok := p.uncounted.popIf(
+		func(e timedKey) bool { return p.isCurrent(e) && !p.openings[e.key].counted },
+		func(e timedKey) bool { return unanswered(p.openings[e.key].sentAt) },
+	)
 	if !ok {
 		return opening{}, false
 	}
@@ -144,13 +149,14 @@
 	return o, ok
 }
 
-// nextOverdue marks as counted and returns the next opening that was placed
-// before t and is not counted yet.
-func (os *openings) nextOverdue(t time.Time) (opening, bool) {
-	if o, ok := os.known.nextOverdue(t); ok {
+// nextOverdue marks as counted and returns the oldest opening of known or of other
+// callers that is not counted yet, if unanswered is true for the time at which it was
+// sent.
+func (os *openings) nextOverdue(unanswered func(sentAt time.Time) bool) (opening, bool) {
+	if o, ok := os.known.nextOverdue(unanswered); ok {
 		return o, true
 	}
-	return os.unknown.nextOverdue(t)
+	return os.unknown.nextOverdue(unanswered)
 }
 
 // nextExpired removes and returns the next opening that was placed before t.
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -30,7 +30,7 @@
 	}
 	f := newFlow{
 		key: k, service: r.services[r.pickService(k, route)],
-		unansweredBy: r.recordRepeat(now, k), awaiting: r.awaitedUpstreams(p.Source.Addr()),
+		unansweredBy: r.recordRepeat(now, k, p), awaiting: r.awaitedUpstreams(p.Source.Addr()),
 	}
 	t, reason := r.place(now, f)
 	if t == nil && !r.catalog.GracePeriodOver() {
@@ -74,12 +74,13 @@
 
 // recordOpening records a placed opening, which may be a repeated one.
 func (r *Router) recordOpening(now time.Time, caller netip.Addr, k bvflow.Key, t *target) {
-	if before, ok := r.pending.remove(k); ok {
+	before, repeated := r.pending.remove(k)
+	if repeated {
 		r.releaseOpening(before)
 	}
 	t.load.opening++
 	r.unsent = append(r.unsent, k)
-	if evicted, ok := r.pending.put(caller, k, opening{upstream: t.entry.ID, at: now}); ok {
+	if evicted, ok := r.pending.put(caller, k, opening{upstream: t.entry.ID, at: now, repeated: repeated}); ok {
 		r.releaseOpening(evicted)
 	}
 }
@@ -92,17 +93,19 @@
 	}
 }
 
-// recordRepeat counts an earlier opening of the flow as unanswered, if there is
-// one, and returns its upstream.
-func (r *Router) recordRepeat(now time.Time, k bvflow.Key) bvconfig.UpstreamID {
+// recordRepeat records the repeated opening p of a flow, if there is an earlier one,
+// and returns the upstream of that one.
+func (r *Router) recordRepeat(now time.Time, k bvflow.Key, p Packet) bvconfig.UpstreamID {
 	o, ok := r.pending.get(k)
 	if !ok {
 		return 0
 	}
 	if t := r.targets[o.upstream]; t != nil {
-		r.recordRetransmission(now, t, o.counted)
+		r.recordRetransmission(now, t, p, o.sentAt, o.counted)
+	}
+	if r.unanswered(o.sentAt, p) {
+		r.pending.markCounted(k)
 	}
-	r.pending.markCounted(k)
 	return o.upstream
 }
 
--- a/core/bvtoken/removed.go
+++ b/core/bvtoken/removed.go
@@ -32,7 +32,7 @@
 		r.removed[e.ID] = run
 	}
 	r.observeRemoved(now, k, e, run, p)
-	if run.crashed(now, removedMinUnacked) {
+	if run.count >= removedMinUnacked && run.convinces(now, p.Source.Addr()) {
 		r.dropRequest(k)
 		d := r.resetFrom(e, p, ReasonUpstreamRemoved)
 		d.Evidence = r.evidence(now, run, p)
@@ -62,10 +62,10 @@
 	r.releaseRequest(evicted)
 	r.unsent = append(r.unsent, k)
 	if repeats {
-		if r.zone(e.Zone).answered.overtook(sentAt, p.ArrivedAfter, r.handshake.timeout()) {
-			run.overtaken++
+		run.repeats++
+		if r.unanswered(sentAt, p) {
+			run.record(now, p.Source.Addr())
 		}
-		run.record(now)
 	}
 }
 
--- a/core/bvtoken/ring.go
+++ b/core/bvtoken/ring.go
@@ -37,6 +37,21 @@
 	return e
 }
 
+// popIf removes the keys that are not live, and returns the first other one if it is
+// ready. It leaves that one in the queue if it is not.
+func (r *ring) popIf(live, ready func(timedKey) bool) (bvflow.Key, bool) {
+	for r.size > 0 {
+		e := r.queue[r.head]
+		if live(e) && !ready(e) {
+			break
+		}
+		if r.pop(); live(e) {
+			return e.key, true
+		}
+	}
+	return bvflow.Key{}, false
+}
+
 // popBefore removes the keys before t up to the first one that is live, and
 // returns that one.
 func (r *ring) popBefore(t time.Time, live func(timedKey) bool) (bvflow.Key, bool) {
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -1,6 +1,7 @@
 package bvtoken
 
 import (
+	"net/netip"
 	"time"
 
 	"balsamvane/core/bvcatalog"
@@ -14,7 +15,7 @@
 	r.refresh(now)
 	k := r.hasher.Key(p.Tuple)
 	if p.Phase == bvflow.PhaseOpening {
-		r.expire(now)
+		r.expire(now, p)
 		return r.routeOpening(now, k, p)
 	}
 	return r.routeEstablished(now, k, p)
@@ -49,7 +50,7 @@
 		return forward(e, reason)
 	}
 	r.observe(now, k, t, p)
-	if route.Idempotent && r.crashed(now, t) {
+	if route.Idempotent && r.crashed(now, t, p) {
 		// The caller can repeat the request elsewhere, which is better than waiting
 		// until its deadline.
 		r.dropRequest(k)
@@ -80,12 +81,12 @@
 	return r.catalog.Complete() && r.catalog.Confirmed(t)
 }
 
-// crashed reports whether an upstream appears to have crashed: it does not
-// acknowledge packets while others in its zone do. An upstream in another zone may
-// only be unreachable from this balancer, while other balancers can still serve the
-// flow.
-func (r *Router) crashed(now time.Time, t *target) bool {
-	return t.inZone && t.unacked.crashed(now, crashMinUnacked) && t.zone.lastAnswer.After(t.unacked.first)
+// crashed reports whether an upstream appears to have crashed, as far as the caller of
+// p is concerned: it does not acknowledge packets while others in its zone do. An
+// upstream in another zone may only be unreachable from this balancer, while other
+// balancers can still serve the flow.
+func (r *Router) crashed(now time.Time, t *target, p Packet) bool {
+	return t.inZone && t.unacked.overtaken >= crashMinUnacked && t.unacked.convinces(now, p.Source.Addr())
 }
 
 // catalogCurrent reports whether the catalog is recent enough to refuse a new flow
@@ -123,16 +124,13 @@
 	o, first := r.pending.complete(p.Source.Addr(), k)
 	if first {
 		r.releaseOpening(o)
-		if o.upstream == t.entry.ID {
-			r.recordAnswered(now, t, p, o.sentAt)
-		}
-		r.handshake.record(now.Sub(o.at))
+		r.recordHandshake(now, t, o, p)
 		r.recordCompletion(t)
 		r.recordAlive(now, t)
 	}
 	if q, ok := r.requests.complete(k, p); ok && q.upstream == t.entry.ID {
-		r.recordAnswered(now, t, p, q.firstSentAt)
-		r.recordAnswer(now, t, now.Sub(q.at))
+		r.recordAnswered(t, q.firstSentAt)
+		r.recordAnswer(now, t, q, p)
 	}
 	if p.Phase != bvflow.PhaseEstablished {
 		if q, ok := r.requests.remove(k); ok {
@@ -156,10 +154,20 @@
 			t.load.add(now, 1)
 		}
 	case repeats:
-		if t.zone.answered.overtook(sentAt, p.ArrivedAfter, r.handshake.timeout()) {
-			t.unacked.overtaken++
-		}
-		r.recordRetransmission(now, t, false)
+		r.recordRetransmission(now, t, p, sentAt, false)
+	}
+}
+
+// recordHandshake records that the caller of an opening has sent a further packet p.
+// It measures nothing if the opening was repeated, since the answer may belong to an
+// earlier one.
+func (r *Router) recordHandshake(now time.Time, t *target, o opening, p Packet) {
+	if o.repeated || o.sentAt.IsZero() || o.upstream != t.entry.ID {
+		return
+	}
+	r.recordAnswered(t, o.sentAt)
+	if readPromptly(now, p) {
+		r.handshake.record(now.Sub(o.sentAt))
 	}
 }
 
@@ -167,7 +175,7 @@
 func (r *Router) recordAlive(now time.Time, t *target) {
 	t.unacked.reset()
 	r.reachability.reset()
-	t.zone.recordAnswer(now)
+	t.zone.recordAnswer()
 	r.limiter.Answered(now, t.entry.ID)
 	if t.state == stateUnresponsive {
 		t.service.pools.remove(t)
@@ -175,10 +183,14 @@
 	}
 }
 
-// recordAnswer records an answered request.
-func (r *Router) recordAnswer(now time.Time, t *target, latency time.Duration) {
+// recordAnswer records a request that was answered, as its caller's packet p shows.
+func (r *Router) recordAnswer(now time.Time, t *target, q request, p Packet) {
 	r.recordAlive(now, t)
 	t.load.open = max(t.load.open-1, 0)
+	if !readPromptly(now, p) {
+		return // The upstream may have answered much earlier.
+	}
+	latency := now.Sub(q.at)
 	t.load.recordLatency(now, latency)
 	t.service.recordLatency(latency)
 }
@@ -210,11 +222,22 @@
 	}
 }
 
-// recordRetransmission records that a caller has repeated a packet because the
-// upstream did not acknowledge it. counted is true for an opening that has already
-// been counted as unanswered.
-func (r *Router) recordRetransmission(now time.Time, t *target, counted bool) {
-	t.unacked.record(now)
+// recordRetransmission records that a caller has repeated, as the packet p, a packet
+// that was last sent at a time. It counts against the upstream if it shows that the
+// upstream did not acknowledge that one. counted is true for an opening that has
+// already been counted as unanswered.
+func (r *Router) recordRetransmission(now time.Time, t *target, p Packet, sentAt time.Time, counted bool) {
+	t.unacked.repeats++
+	if r.waited(sentAt, p) && !counted {
+		r.reachability.record(now, p.Source.Addr())
+	}
+	if !r.unanswered(sentAt, p) {
+		return
+	}
+	t.unacked.record(now, p.Source.Addr())
+	if r.overtaken(sentAt, &t.zone.answered) {
+		t.unacked.overtaken++
+	}
 	if !counted {
 		r.recordFailure(now, t)
 	}
@@ -228,14 +251,13 @@
 // does not end open flows.
 func (r *Router) recordIncomplete(now time.Time, t *target) {
 	t.incompleteRun++
+	r.reachability.record(now, netip.Addr{})
 	r.recordFailure(now, t)
 }
 
-// recordFailure counts an unanswered packet against the upstream, its zone and
-// this balancer's own links.
+// recordFailure counts an unanswered packet against the upstream and its zone.
 func (r *Router) recordFailure(now time.Time, t *target) {
 	t.zone.recordUnacked(now, t.entry.ID, r.incompleteRuns.threshold(zoneDownMinUpstreams))
-	r.reachability.record(now)
 	if r.limiter.Unanswered(now, t.entry.ID) {
 		r.suspend(now, t)
 	}
@@ -267,10 +289,11 @@
 }
 
 // expire counts openings that were not answered in time, and removes openings
-// and requests that have timed out.
-func (r *Router) expire(now time.Time) {
+// and requests that had timed out before the opening p arrived. Packets that have
+// arrived since then may still wait to be routed.
+func (r *Router) expire(now time.Time, p Packet) {
 	for {
-		o, ok := r.pending.nextOverdue(now.Add(-r.handshake.timeout()))
+		o, ok := r.pending.nextOverdue(func(sentAt time.Time) bool { return r.unanswered(sentAt, p) })
 		if !ok {
 			break
 		}
@@ -279,14 +302,14 @@
 		}
 	}
 	for {
-		o, ok := r.pending.nextExpired(now.Add(-r.options.AnswerTimeout))
+		o, ok := r.pending.nextExpired(p.ArrivedAfter.Add(-r.options.AnswerTimeout))
 		if !ok {
 			break
 		}
 		r.releaseOpening(o)
 	}
 	for {
-		q, ok := r.requests.nextExpired(now.Add(-r.options.RequestTimeout))
+		q, ok := r.requests.nextExpired(p.ArrivedAfter.Add(-r.options.RequestTimeout))
 		if !ok {
 			break
 		}
--- a/io/bvforwarder/decisionlog.go
+++ b/io/bvforwarder/decisionlog.go
@@ -87,6 +87,7 @@
 	o.AddInt("unacked", e.Unacked)
 	o.AddDuration("unackedFor", e.UnackedFor)
 	o.AddInt("overtaken", e.Overtaken)
+	o.AddInt("repeats", e.Repeats)
 	o.AddDuration("answerTime", e.AnswerTime)
 	o.AddDuration("readWait", e.ReadWait)
 	return nil
