core/bvcatalog: keep one configuration in the history

The history kept each version of the configuration in full, and an answer to a follower held all versions since the follower's revision, although each replaces the one before as a whole. In the log of the incident one answer brought versions 35 to 38. An answer with four versions of 1,650 routes takes 189 kB, so 16 followers get 3.0 MB, which occupies a link of 10 Mbit/s for 2.4 s. Source and follower also encode and decode each version.

The history keeps the configuration with the highest version, apart from the other changes, which keep their order. It comes first in an answer, as in a listing; the order does not matter, since an answer is applied as a whole and no other change depends on the configuration. Of several configurations with the highest version the first one stays, as in the catalog. The history compares versions only among its own configurations, not with that of the catalog, which may have a version from a listing that is more recent than its revision. A configuration that is not newer makes the held one count as changed at that revision, since a follower that listed the platform may have an older one.

What remains: one version each is still encoded and sent to each follower, 16 times 47 kB, which is 0.6 s of a link of 10 Mbit/s.

--- a/core/bvcatalog/history.go
+++ b/core/bvcatalog/history.go
@@ -13,7 +13,7 @@
 // follower that lacks more requests a full listing.
 const maxHistory = 4096
 
-// batch holds the changes of one answer of the platform.
+// batch holds the changes of one answer of the platform, without configurations.
 type batch struct {
 	revision bvrevision.Revision // Revision up to which the answer was complete.
 	changes  []Change
@@ -21,21 +21,37 @@
 
 // history holds the last changes, so that other balancers can follow this catalog
 // as it follows the platform.
+//
+// Of the configurations it keeps only the one with the highest version. A
+// configuration replaces the previous one as a whole and takes some hundred bytes for
+// each route, so the older ones would only make answers and memory larger.
 type history struct {
 	start   bvrevision.Revision // Changes after this revision are held.
 	batches []batch
 	size    int
+	// configuration is the newest configuration, or nil. configuredAt is the revision of
+	// the last answer with a configuration.
+	configuration *Configuration
+	configuredAt  bvrevision.Revision
 }
 
 // reset discards all changes up to a revision.
 func (h *history) reset(r bvrevision.Revision) { *h = history{start: r} }
 
 func (h *history) append(r bvrevision.Revision, cs []Change) {
-	if len(cs) == 0 {
+	others := make([]Change, 0, len(cs))
+	for _, ch := range cs {
+		if d, ok := ch.(Configuration); ok {
+			h.setConfiguration(r, d)
+			continue
+		}
+		others = append(others, ch)
+	}
+	if len(others) == 0 {
 		return
 	}
-	h.batches = append(h.batches, batch{r, cs})
-	h.size += len(cs)
+	h.batches = append(h.batches, batch{r, others})
+	h.size += len(others)
 	for h.size > maxHistory && len(h.batches) > 1 {
 		h.start = h.batches[0].revision
 		h.size -= len(h.batches[0].changes)
@@ -43,13 +59,28 @@
 	}
 }
 
-// Since returns the changes after a revision, in their order; ok is false if
-// they are not held, or if the revision is of another era.
+// setConfiguration records a configuration. The first one with the highest version
+// stays, as in the catalog. It is sent again after one that is not newer: a follower that
+// has listed the platform may have an older one.
+func (h *history) setConfiguration(r bvrevision.Revision, d Configuration) {
+	h.configuredAt = r
+	if h.configuration == nil || d.Version > h.configuration.Version {
+		h.configuration = &d
+	}
+}
+
+// Since returns the changes after a revision: the newest configuration, if there was
+// one, and then the other changes in their order. ok is false if they are not held, or
+// if the revision is of another era.
 func (c *Catalog) Since(after bvrevision.Revision) (cs []Change, ok bool) {
-	if !c.listed || after.Era != c.revision.Era || c.history.start.After(after) {
+	h := &c.history
+	if !c.listed || after.Era != c.revision.Era || h.start.After(after) {
 		return nil, false
 	}
-	for _, a := range c.history.batches {
+	if h.configuration != nil && h.configuredAt.After(after) {
+		cs = append(cs, *h.configuration)
+	}
+	for _, a := range h.batches {
 		if a.revision.After(after) {
 			cs = append(cs, a.changes...)
 		}
--- a/io/bvrelay/bench_test.go
+++ b/io/bvrelay/bench_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"balsamvane/core/bvcatalog"
 	"balsamvane/core/bvfanout"
 	"balsamvane/core/bvrevision"
+	"balsamvane/io/bvcodec"
 	"balsamvane/io/bvfollower"
 
 	"github.com/jonboulle/clockwork"
@@ -72,3 +76,56 @@
 		})
 	}
 }
+
+// largeConfiguration returns a configuration with a number of routes to 12 services.
+func largeConfiguration(version uint64, routes int) bvcatalog.Configuration {
+	d := bvcatalog.Configuration{Version: version}
+	for i := range routes {
+		address := netip.AddrFrom4([4]byte{198, 18, byte(i / 250), byte(1 + i%250)})
+		d.Routes = append(d.Routes, bvcatalog.Route{
+			Name: fmt.Sprintf("r-%d", i), Address: netip.AddrPortFrom(address, 443), Idempotent: true,
+			Backends: []bvcatalog.Backend{{Service: fmt.Sprintf("service-%d", i%12), Weight: 1}},
+		})
+	}
+	for i := range 12 {
+		d.Services = append(d.Services, bvcatalog.ServiceLimits{Name: fmt.Sprintf("service-%d", i), Connections: 2000})
+	}
+	return d
+}
+
+// BenchmarkLargeConfiguration measures an answer to a follower that is behind by a number
+// of versions of a large configuration, at the source and at the follower.
+func BenchmarkLargeConfiguration(b *testing.B) {
+	codec := bvcodec.New()
+	for _, versions := range []int{1, 4} {
+		p := newFakeProvider()
+		p.catalog.Replace(time.Unix(0, 0), 0, rev(1), nil)
+		for i := range versions {
+			p.catalog.Apply(time.Unix(0, 0), 0, rev(int64(2+i)), []bvcatalog.Change{largeConfiguration(uint64(1+i), 1650)})
+		}
+		answer := func(b *testing.B) []byte {
+			l, ok := p.Since(rev(1))
+			require.True(b, ok)
+			body, err := codec.Marshal(encode(l, time.Unix(0, 0)))
+			require.NoError(b, err)
+			return body
+		}
+		b.Run(fmt.Sprintf("source/%dversions", versions), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				answer(b)
+			}
+			b.ReportMetric(float64(len(answer(b))), "answerB")
+		})
+		b.Run(fmt.Sprintf("follower/%dversions", versions), func(b *testing.B) {
+			body := answer(b)
+			b.ReportAllocs()
+			for b.Loop() {
+				var a watchAnswer
+				require.NoError(b, codec.Unmarshal(body, &a))
+				_, err := a.decode(time.Unix(0, 0))
+				require.NoError(b, err)
+			}
+		})
+	}
+}
