core/bvtoken: reset no open flow while packets to answering upstreams are lost

Cause: the balancer's link of 10 Mbit/s was full for parts of a second and lost packets, to this upstream by chance three in a row. With 75 balancers, 150 upstreams and few packets between two of them, that comes about.

Change: an upstream that answers after it has left overtaken packets unacknowledged shows that packets are lost on their way. For 5 s after that, missing acknowledgements end no flow. Flows of an upstream that has crashed then wait for the removal of its entry.

TestLostPackets before: --- FAIL: TestLostPackets (0.09s) Error: Should be empty, but was map[16:7] Error: Should be empty, but was map[17:8] FAIL FAIL balsamvane/core/bvtoken 0.096s FAIL after: ok.

--- a/core/bvtoken/bvtoken.go
+++ b/core/bvtoken/bvtoken.go
@@ -164,6 +164,9 @@
 	batch      uint64         // Number of the batch of packets that is being routed.
 	newestSent time.Time      // When a packet that upstreams answer was last sent.
 	answered   newestAnswered // Of the packets to all upstreams.
+	// lostPacketAt is when an upstream last answered after it had left packets
+	// unacknowledged, which then were lost on their way.
+	lostPacketAt time.Time
 	// noAnswerSince is when the first packet since the last answer was sent; zero if
 	// none was.
 	noAnswerSince  time.Time
--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -20,6 +20,16 @@
 	crashRetryAfter = 2 * time.Second
 )
 
+// lossMemory is how long the loss of a packet shows that others may be lost as well.
+// Links lose packets in bursts, when they are full.
+const lossMemory = 5 * time.Second
+
+// losesPackets reports whether packets to upstreams that answer were lost recently. Then
+// unacknowledged packets do not show that an upstream has crashed.
+func (r *Router) losesPackets(now time.Time) bool {
+	return !r.lostPacketAt.IsZero() && now.Sub(r.lostPacketAt) < lossMemory
+}
+
 // unackedRun is a run of consecutive unacknowledged packets.
 type unackedRun struct {
 	count int       // Unacknowledged packets since the last answer.
--- a/core/bvtoken/late_test.go
+++ b/core/bvtoken/late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
@@ -21,6 +22,9 @@
 	// linkDelay is how long the balancer's own link delays a packet that it sends.
 	linkDelay time.Duration
 	linkFree  time.Time // When the last packet has left the link.
+	// lost is the probability with which the balancer's own link loses a packet.
+	lost   float64
+	random *rand.Rand
 	// readEvery is the time between two reads of the balancer's socket, each of at most
 	// readBatch packets; 0 if packets are read as they arrive.
 	readEvery time.Duration
@@ -60,7 +64,7 @@
 var retransmissions = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
 
 func newPath(upstreams ...bvconfig.UpstreamID) *path {
-	return &path{fixture: newFixture(upstreams...), crashed: map[bvconfig.UpstreamID]bool{}, resets: map[bvconfig.UpstreamID]int{}}
+	return &path{fixture: newFixture(upstreams...), random: rand.New(rand.NewPCG(1, 2)), crashed: map[bvconfig.UpstreamID]bool{}, resets: map[bvconfig.UpstreamID]int{}}
 }
 
 // after runs do after a time. Events of one time run in the order of their addition.
@@ -81,6 +85,9 @@
 	p.advance(end.Sub(p.now))
 }
 
+// loses reports whether the link loses the next packet.
+func (p *path) loses() bool { return p.random.Float64() < p.lost }
+
 // sent runs do once a packet has left the link and a time has passed. The link keeps the
 // order of packets.
 func (p *path) sent(d time.Duration, do func()) {
@@ -155,7 +162,7 @@
 				p.resets[x.upstream]++
 				return
 			}
-			if p.crashed[x.upstream] || x.tuple.Source.Addr() == p.deaf {
+			if p.crashed[x.upstream] || x.tuple.Source.Addr() == p.deaf || p.loses() {
 				return
 			}
 			// The upstream acknowledges the request at once and answers it later.
@@ -195,8 +202,8 @@
 }
 
 // TestLateAnswers guards against resets of open flows at live upstreams whose answers
-// are late because of this balancer or a caller: packets wait in the balancer's socket
-// or in its link, and callers repeat them.
+// are late because of this balancer: packets wait in its socket or in its link, and
+// callers repeat them. The entry of a live upstream may have expired.
 func TestLateAnswers(t *testing.T) {
 	tests := map[string]func(p *path){
 		"nothing happens": func(*path) {},
@@ -224,13 +231,18 @@
 	}
 	for name, disturb := range tests {
 		for _, every := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second} {
-			t.Run(fmt.Sprintf("%s, a request each %s", name, every), func(t *testing.T) {
-				p := newPath(11, 12, 13, 21)
-				p.load(24, every, 10*time.Second)
-				disturb(p)
-				p.run(12 * time.Second)
-				assert.Empty(t, p.resets, "resets by upstream")
-			})
+			for _, expired := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, a request each %s, entry expired %t", name, every, expired), func(t *testing.T) {
+					p := newPath(11, 12, 13, 21)
+					p.load(24, every, 10*time.Second)
+					if expired {
+						p.after(700*time.Millisecond, func() { p.remove(12) })
+					}
+					disturb(p)
+					p.run(12 * time.Second)
+					assert.Empty(t, p.resets, "resets by upstream")
+				})
+			}
 		}
 	}
 }
@@ -274,7 +286,7 @@
 		}
 		opening := Packet{Packet: bvflow.Packet{Tuple: x.tuple, Phase: bvflow.PhaseOpening}}
 		p.arrive(opening, func(d Decision) {
-			if d.Verdict != VerdictForward || p.crashed[d.Upstream] {
+			if d.Verdict != VerdictForward || p.crashed[d.Upstream] || p.loses() {
 				return
 			}
 			p.sent(pathDelay, func() {
@@ -350,3 +362,19 @@
 	assert.Less(t, handshake, pathDelay+maxReadDelay)
 	assert.Less(t, latency, pathDelay+requestTime+maxReadDelay)
 }
+
+// TestLostPackets guards against resets of open flows at live upstreams when the
+// balancer's own link is full now and then and loses packets, while others get through.
+func TestLostPackets(t *testing.T) {
+	for seed := range uint64(3) {
+		p := newPath(11, 12, 13, 14, 15, 16, 17, 18)
+		p.random = rand.New(rand.NewPCG(seed, 0))
+		p.load(60, time.Second, 10*time.Second)
+		for i := range 10 {
+			p.after(time.Duration(i)*time.Second, func() { p.lost = 0.5 })
+			p.after(time.Duration(i)*time.Second+600*time.Millisecond, func() { p.lost = 0 })
+		}
+		p.run(12 * time.Second)
+		assert.Empty(t, p.resets, "resets by upstream, seed %d", seed)
+	}
+}
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -86,7 +86,7 @@
 // upstream in another zone may only be unreachable from this balancer, while other
 // balancers can still serve the flow.
 func (r *Router) crashed(now time.Time, t *target, p Packet) bool {
-	return t.inZone && t.unacked.overtaken >= crashMinUnacked && t.unacked.convinces(now, p.Source.Addr())
+	return t.inZone && !r.losesPackets(now) && t.unacked.overtaken >= crashMinUnacked && t.unacked.convinces(now, p.Source.Addr())
 }
 
 // catalogCurrent reports whether the catalog is recent enough to refuse a new flow
@@ -173,6 +173,9 @@
 
 // recordAlive records that an upstream has answered.
 func (r *Router) recordAlive(now time.Time, t *target) {
+	if t.unacked.overtaken > 0 {
+		r.lostPacketAt = now
+	}
 	t.unacked.reset()
 	r.reachability.reset()
 	t.zone.recordAnswer()
