core/bvroute, io/bvdaemon: count only copies of openings that were left unanswered

Callers would see refused or dropped connections after a balancer of the Geneve way stood still, or while its own link was slow: warm upstreams got the rate of cold ones, or none for 10 s.

Cause: each copy of an opening counted as a retransmission that the upstream had left unanswered, at the time at which the copy was read. Openings and copies that waited together in the balancer's socket or queue counted, and so did copies of openings that were late in its own link, and copies of openings that were decided but never sent (a batch that is older than maxDecisionAge).

Change: a copy counts only if an opening that was sent later was answered, and the copy arrived at least 50 ms after that answer was read. A worker tells the node when the openings of a batch were sent. An opening whose time of sending is not known to within 10 ms is no evidence, nor is an answer to a retransmitted one, since it may belong to any copy (Karn). The time of arrival of each packet passes from the batch through the queue to the node.

Why it works: openings leave in order and answers return in order, through the same process and links. Whatever delays the packets of one flow there delays those of the later one too, so the later answer can't overtake the earlier one. A lost or slow answer of one upstream is still overtaken by those of the others.

Decisions stay without allocations (TestRouteAllocations, which now covers copies of openings). If no opening at all is answered, no copy counts any more; then all upstreams appear alike, and all would be used anyway.

--- a/core/bvflow/table.go
+++ b/core/bvflow/table.go
@@ -26,21 +26,23 @@
 
 // The flags.
 const (
-	FlagOwner       Flags = 1 << iota // This balancer decides on the flow; otherwise the entry is a replica's record.
-	FlagException                     // The upstream differs from a base pick, so the entry is replicated.
-	FlagCounted                       // Counts as an open flow of its upstream.
-	FlagAdopted                       // Created from the base pick by a packet in the middle of the flow.
-	FlagDatagram                      // UDP.
-	FlagInvalidated                   // The upstream's zone went out of service and returned; only retransmitted openings with a request use the entry.
+	FlagOwner         Flags = 1 << iota // This balancer decides on the flow; otherwise the entry is a replica's record.
+	FlagException                       // The upstream differs from a base pick, so the entry is replicated.
+	FlagCounted                         // Counts as an open flow of its upstream.
+	FlagAdopted                         // Created from the base pick by a packet in the middle of the flow.
+	FlagDatagram                        // UDP.
+	FlagInvalidated                     // The upstream's zone went out of service and returned; only retransmitted openings with a request use the entry.
+	FlagRetransmitted                   // The opening was retransmitted, so an answer may belong to any of its copies.
 )
 
-// Entry is a balancer's record of a flow. Times are in seconds since the
-// table's epoch.
+// Entry is a balancer's record of a flow. Exported times are in seconds since
+// the table's epoch.
 type Entry struct {
 	Key          Key
 	Upstream     uint64 // A bvconfig.UpstreamID, which this package can't import.
 	LastSeen     uint32 // Time of the last packet.
 	ReplicatedAt uint32 // Time at which the entry last passed through its replica set; 0 if never.
+	openingSent  uint32 // Milliseconds since the epoch at which the last opening was sent; 0 if unknown.
 	next         uint32 // 1 + the slot of the next entry of the bucket, or of the next free slot.
 	State        State
 	Flags        Flags
@@ -71,7 +73,7 @@
 	initialSize = chunkSize
 )
 
-// Table holds the entries of a balancer, at most 45 bytes for each when it is
+// Table holds the entries of a balancer, at most 53 bytes for each when it is
 // large. Entries never move, so that a sweep by slot misses none, and a
 // pointer to an entry stays valid until its deletion. Buckets grow one at a
 // time by linear hashing (Litwin, 1980), so that no insertion pauses to
@@ -142,6 +144,29 @@
 // Touch records the time of a packet of the entry's flow.
 func (t *Table) Touch(now time.Time, e *Entry) { e.LastSeen = t.Seconds(now) }
 
+// SetOpeningSent records that the last opening of the entry's flow was sent by
+// now. The zero time stands for an opening that was not sent yet.
+func (t *Table) SetOpeningSent(now time.Time, e *Entry) {
+	e.openingSent = 0
+	if !now.IsZero() {
+		e.openingSent = max(uint32(t.milliseconds(now)), 1)
+	}
+}
+
+// OpeningSent returns the time that [Table.SetOpeningSent] recorded within the 49
+// days before now, in milliseconds. It is zero if there is none.
+func (t *Table) OpeningSent(now time.Time, e *Entry) time.Time {
+	if e.openingSent == 0 {
+		return time.Time{}
+	}
+	elapsed := t.milliseconds(now)
+	age := uint32(elapsed) - e.openingSent // The stored time wraps around.
+	return t.epoch.Add(time.Duration(elapsed-int64(age)) * time.Millisecond)
+}
+
+// milliseconds converts a time to milliseconds since the table's epoch.
+func (t *Table) milliseconds(now time.Time) int64 { return max(now.Sub(t.epoch), 0).Milliseconds() }
+
 // Insert adds an entry for k with LastSeen set to now, or returns the existing
 // one unchanged. It returns [ErrTableFull] if the table is full.
 func (t *Table) Insert(now time.Time, k Key) (*Entry, error) {
--- a/core/bvflow/table_test.go
+++ b/core/bvflow/table_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -104,6 +105,29 @@
 	}
 }
 
+// TestOpeningSent guards against a time of sending that is wrong after the stored
+// milliseconds have wrapped around, or that differs from one reading to the next.
+func TestOpeningSent(t *testing.T) {
+	table := NewTable(10, epoch, DefaultLifetimes)
+	e, err := table.Insert(epoch, tableKey(1))
+	require.NoError(t, err)
+	assert.True(t, table.OpeningSent(epoch, e).IsZero(), "not sent yet")
+	for _, uptime := range []time.Duration{0, time.Hour, 1<<32*time.Millisecond - 1, 1 << 32 * time.Millisecond, 1000 * 24 * time.Hour} {
+		sent := epoch.Add(uptime)
+		table.SetOpeningSent(sent, e)
+		for _, age := range []time.Duration{time.Millisecond, 1234567 * time.Microsecond, time.Minute} {
+			got := table.OpeningSent(sent.Add(age), e)
+			assert.WithinDuration(t, sent, got, time.Millisecond, uptime)
+			assert.Equal(t, table.OpeningSent(sent.Add(time.Second), e), got, uptime)
+		}
+	}
+	table.SetOpeningSent(time.Time{}, e)
+	assert.True(t, table.OpeningSent(epoch, e).IsZero(), "the copy is not sent yet")
+}
+
+// TestEntrySize guards against an entry that takes more than a cache line.
+func TestEntrySize(t *testing.T) { assert.LessOrEqual(t, int(unsafe.Sizeof(Entry{})), 64) }
+
 // TestTableAllocations guards against allocations on the packet path.
 func TestTableAllocations(t *testing.T) {
 	table := NewTable(10, epoch, DefaultLifetimes)
--- a/core/bvlimit/health.go
+++ b/core/bvlimit/health.go
@@ -50,7 +50,8 @@
 }
 
 // Retransmitted records that a caller retransmitted an opening that had been
-// sent to u. Many retransmissions show that u is cold or unresponsive,
+// sent to u and that u left unanswered. Copies that were late in this balancer do
+// not show that and must not be recorded. Many retransmissions show that u is cold or unresponsive,
 // whatever its health endpoint reports.
 func (l *Limiter) Retransmitted(now time.Time, u bvconfig.UpstreamID) {
 	x := l.upstreams[u]
--- a/core/bvnode/bvnode.go
+++ b/core/bvnode/bvnode.go
@@ -188,6 +188,10 @@
 	return n.router.Route(now, p, trail, record)
 }
 
+// Sent records that an opening was sent after from and by the time by, as
+// [Node.Packet] had decided. Other packets are ignored.
+func (n *Node) Sent(from, by time.Time, p bvflow.Packet) { n.router.Sent(from, by, p) }
+
 // Handle processes an event and returns the actions to execute.
 func (n *Node) Handle(now time.Time, ev Event) []Action {
 	var as []Action
--- a/core/bvroute/bench_test.go
+++ b/core/bvroute/bench_test.go
@@ -65,12 +65,17 @@
 // TestRouteAllocations guards against heap allocations on the packet path.
 func TestRouteAllocations(t *testing.T) {
 	f := newCluster(t, 4, 0)
-	r, ps := f.nodes[0].router, ownedOpenings(f, 1)
+	r, ps := f.nodes[0].router, ownedOpenings(f, 2)
 	p := ps[0]
 	for _, phase := range []bvflow.Phase{bvflow.PhaseEstablished, bvflow.PhaseOpening, bvflow.PhaseClosing} {
 		p.Phase = phase
 		assert.Zero(t, testing.AllocsPerRun(100, func() { r.Route(f.now, p, Trail{}, Record{}) }), "known flow")
 	}
+	r.Route(f.now, ps[1], Trail{}, Record{})
+	assert.Zero(t, testing.AllocsPerRun(100, func() {
+		r.Route(f.now, ps[1], Trail{}, Record{})
+		r.Sent(f.now, f.now, ps[1])
+	}), "retransmitted opening")
 	k := r.view.hasher.Key(p.Tuple)
 	assert.Zero(t, testing.AllocsPerRun(100, func() {
 		r.table.Delete(k)
--- a/core/bvroute/bvroute.go
+++ b/core/bvroute/bvroute.go
@@ -24,6 +24,7 @@
 //	case bvroute.VerdictForward:
 //		// send to the balancer at d.Tunnel with d.Trail and d.Record
 //	}
+//	r.Sent(beforeSending, clock.Now(), packet)
 package bvroute
 
 import (
@@ -43,7 +44,8 @@
 	Opened(now time.Time, u bvconfig.UpstreamID)
 	// Closed records the end of a flow.
 	Closed(now time.Time, u bvconfig.UpstreamID)
-	// Retransmitted records a retransmitted opening packet.
+	// Retransmitted records a retransmitted opening that the upstream left
+	// unanswered.
 	Retransmitted(now time.Time, u bvconfig.UpstreamID)
 	// OpenFlows returns the number of flows that were opened and not closed.
 	OpenFlows(u bvconfig.UpstreamID) int
@@ -93,6 +95,7 @@
 	removed removals
 	bases   []Base
 
+	answered         newestAnswered
 	view             *view
 	started          time.Time      // Time of the first snapshot.
 	previousViews    []previousView // Replaced views, oldest first.
--- a/core/bvroute/entry.go
+++ b/core/bvroute/entry.go
@@ -32,7 +32,7 @@
 		return c.place(e)
 	}
 	if c.opening() && e.State == bvflow.StateOpening && e.Has(bvflow.FlagCounted) {
-		c.limiter.Retransmitted(c.now, t.id)
+		c.recordRetransmission(e, t)
 	}
 	if !e.Has(bvflow.FlagOwner|bvflow.FlagCounted) && c.selfOwns() {
 		e.Flags |= bvflow.FlagOwner
@@ -74,6 +74,7 @@
 	switch c.packet.Phase {
 	case bvflow.PhaseEstablished:
 		if e.State == bvflow.StateOpening {
+			c.recordAnswered(e)
 			e.State = bvflow.StateEstablished
 		}
 	case bvflow.PhaseDatagram:
--- a/core/bvroute/place.go
+++ b/core/bvroute/place.go
@@ -1,6 +1,8 @@
 package bvroute
 
 import (
+	"time"
+
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvflow"
 	"balsamvane/core/bvmember"
@@ -187,6 +189,7 @@
 	c.uncount(c.now, e)
 	e.Upstream, e.State, e.Flags = uint64(t.id), bvflow.StateOpening, bvflow.FlagOwner
 	e.LastSeen, e.ReplicatedAt = c.seconds, max(c.seconds, 1)
+	c.table.SetOpeningSent(time.Time{}, e)
 	if c.datagram() {
 		e.Flags |= bvflow.FlagDatagram
 	}
--- a/io/bvdaemon/bvdaemon.go
+++ b/io/bvdaemon/bvdaemon.go
@@ -68,6 +68,7 @@
 // implemented by [bvnode.Node].
 type Node interface {
 	Packet(now time.Time, p bvflow.Packet, t bvroute.Trail, r bvroute.Record) bvroute.Decision
+	Sent(from, by time.Time, p bvflow.Packet)
 	Handle(now time.Time, e bvnode.Event) []bvnode.Action
 	SyncRequest(now time.Time, from bvconfig.NodeID, cursor uint64, limit int) bvnode.SyncReceived
 	Config() (c bvconfig.Config, ok bool)
--- a/io/bvdaemon/bvdaemon_test.go
+++ b/io/bvdaemon/bvdaemon_test.go
@@ -43,6 +43,8 @@
 	mu      sync.Mutex
 	config  *bvconfig.Config
 	records []bvroute.Record
+	packets []bvflow.Packet
+	sent    []sentOpening
 	events  chan bvnode.Event
 }
 
@@ -50,6 +52,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.records = append(n.records, r)
+	n.packets = append(n.packets, p)
 	return n.decisions[p.Destination.Port()]
 }
 
--- a/io/bvdaemon/packets.go
+++ b/io/bvdaemon/packets.go
@@ -158,6 +158,7 @@
 			continue
 		}
 		it.packet = p
+		it.packet.ArrivedAfter = w.in.ArrivedAfter()
 		w.packets = append(w.packets, it)
 	}
 }
--- a/io/bvdaemon/worker.go
+++ b/io/bvdaemon/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"balsamvane/core/bvflow"
 	"balsamvane/core/bvroute"
 	"balsamvane/io/bvtunnel"
 )
@@ -66,13 +67,38 @@
 	for i := range items {
 		w.carryOut(&items[i], &w.decisions[i])
 	}
-	w.flush(&w.fabric)
-	w.flush(&w.peer)
+	from := w.daemon.clock.Now()
+	if failed := w.flush(&w.fabric) + w.flush(&w.peer); failed == 0 {
+		w.recordSent(from, items)
+	}
+}
+
+// flush sends the packets of o. It returns the number that the kernel did not
+// accept.
+func (w *worker) flush(o *packetSender) (failed int) {
+	failed = o.socket.Write(o.batch)
+	if failed > 0 {
+		w.daemon.counters.sendFailed.Inc(int64(failed))
+	}
+	return failed
 }
 
-func (w *worker) flush(o *packetSender) {
-	if n := o.socket.Write(o.batch); n > 0 {
-		w.daemon.counters.sendFailed.Inc(int64(n))
+// recordSent tells the node when the openings of a batch were sent. It locks the
+// node only if there are any.
+func (w *worker) recordSent(from time.Time, items []parsedPacket) {
+	locked, by := false, time.Time{}
+	for i := range items {
+		v := w.decisions[i].Verdict
+		if items[i].packet.Phase != bvflow.PhaseOpening || v != bvroute.VerdictUpstream && v != bvroute.VerdictForward {
+			continue
+		}
+		if !locked {
+			by = w.daemon.clock.Now()
+			w.daemon.mu.Lock()
+			defer w.daemon.mu.Unlock()
+			locked = true
+		}
+		w.daemon.node.Sent(from, by, items[i].packet)
 	}
 }
 
