core/bvmember: do not mark peers dead whose heartbeats wait to be read

Callers would see flows move to other owners, and a sound peer had to rejoin, after a balancer had stood still for less than the 1 s that count as a pause.

Cause: a tick compared the time of the last heartbeat that was read with the present time. After a standstill a tick may come first while the heartbeats that arrived meanwhile still wait in the socket. One standstill of 0.85 s is enough if two heartbeats were lost before, or one across zones if the peer is suspected. A pause of over 1 s was already taken into account.

Change: after a gap of more than 200 ms between ticks or received heartbeats, the gap does not count until 100 ms after its end.

Why it works: the heartbeats that arrived in the gap are read within the next interval of ticks, and then count as usual. A process that runs marks peers dead after the same time as before.

Ruled out: a bound from the reader (how long heartbeats may have waited) needs the time at which an idle socket was last empty, which a Socket does not report.

--- a/core/bvmember/bvmember.go
+++ b/core/bvmember/bvmember.go
@@ -83,6 +83,15 @@
 	return o
 }
 
+const (
+	// standstillGap is twice the interval of ticks. After a longer gap between ticks
+	// or received heartbeats, some heartbeats may wait in the sockets.
+	standstillGap = 200 * time.Millisecond
+	// catchUpTime is the interval of ticks. Within it, heartbeats that waited are
+	// received.
+	catchUpTime = 100 * time.Millisecond
+)
+
 // Peer is this node's view of another balancer.
 type Peer struct {
 	Node    bvconfig.NodeID
@@ -140,8 +149,11 @@
 	peers         map[bvconfig.NodeID]*peer
 	sortedPeers   []*peer   // Ordered by node ID.
 	lastRunAt     time.Time // Last tick or received heartbeat, to detect pauses.
-	zoneActiveAt  time.Time // When the zone last had an active node.
-	ownContactAt  time.Time // This node's last platform contact.
+	// stoodStillFrom and resumedAt are the start and the end of the last gap between
+	// ticks or received heartbeats that exceeds standstillGap.
+	stoodStillFrom, resumedAt time.Time
+	zoneActiveAt              time.Time // When the zone last had an active node.
+	ownContactAt              time.Time // This node's last platform contact.
 	// latestContactAt is the last platform contact of this node or any peer; it
 	// starts at firstListAt.
 	latestContactAt time.Time
--- a/core/bvmember/change.go
+++ b/core/bvmember/change.go
@@ -70,9 +70,10 @@
 // zone without an active node.
 func (m *Members) Tick(now time.Time) []Change {
 	cs := m.checkPause(now)
+	readUntil := m.heartbeatsReadUntil(now)
 	for _, p := range m.sortedPeers {
 		limit := m.deathTimeout(now, p)
-		if p.Alive && now.Sub(p.heartbeatAt) >= limit {
+		if p.Alive && readUntil.Sub(p.heartbeatAt) >= limit {
 			p.Alive, p.InSync = false, false
 			cs = append(cs, PeerDead{Node: p.Node, Incarnation: p.Incarnation})
 		}
@@ -93,6 +94,15 @@
 	return limit
 }
 
+// heartbeatsReadUntil returns a time by which all heartbeats that had arrived were
+// received. While this process stood still, they waited in its sockets.
+func (m *Members) heartbeatsReadUntil(now time.Time) time.Time {
+	if m.options.ignorePause || m.resumedAt.IsZero() || now.Sub(m.resumedAt) >= catchUpTime {
+		return now
+	}
+	return m.stoodStillFrom
+}
+
 // Paused reports whether this node was paused and has not processed the pause
 // yet. The caller checks it so that a packet that is handled before the next
 // tick is not decided with an old view. It changes nothing and does not
@@ -101,9 +111,12 @@
 	return !m.options.ignorePause && !m.lastRunAt.IsZero() && now.Sub(m.lastRunAt) > m.options.PauseLimit
 }
 
-// checkPause detects a pause since the last tick or received heartbeat.
+// checkPause detects a standstill or a pause since the last tick or received heartbeat.
 func (m *Members) checkPause(now time.Time) []Change {
 	paused, gap := m.Paused(now), now.Sub(m.lastRunAt)
+	if !m.lastRunAt.IsZero() && gap > standstillGap {
+		m.stoodStillFrom, m.resumedAt = m.lastRunAt, now
+	}
 	if gap > 0 || m.lastRunAt.IsZero() {
 		m.lastRunAt = now
 	}
