io/bvprobe: read an answer that waits before a probe times out

Callers would see fewer upstreams in use: three failed probes in a row eject an upstream for new flows, whatever it answered.

Cause: the timer of a probe counted the time in which this process stood still. When the process resumed after a standstill of the whole timeout, the timer ended the probe although the answer waited in the socket.

Change: the last tenth of the timeout begins when the timer of the other nine tenths has run.

In a process that runs, the timeout is the same.

--- a/io/bvprobe/bvprobe.go
+++ b/io/bvprobe/bvprobe.go
@@ -36,6 +36,9 @@
 	// maxCount limits the reported counts, so that sums over upstreams cannot
 	// overflow.
 	maxCount = 1 << 30
+	// catchUpParts is the number of parts of a probe's timeout, the last of which is
+	// for reading an answer that waits.
+	catchUpParts = 10
 )
 
 // ErrMalformedReport is returned for an answer that is not a valid report.
@@ -175,7 +178,10 @@
 func (p *Prober) probe(ctx context.Context, id bvconfig.UpstreamID, u bvconfig.Upstream) bvnode.Event {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	t := p.clock.AfterFunc(p.options.Timeout, cancel)
+	// The last part of the timeout begins only when this process runs, so that an
+	// answer that waited while the process stood still is read first.
+	catchUp := p.options.Timeout / catchUpParts
+	t := p.clock.AfterFunc(p.options.Timeout-catchUp, func() { p.clock.AfterFunc(catchUp, cancel) })
 	defer t.Stop()
 	e, err := p.fetchReport(ctx, "http://"+u.Health.String()+"/health")
 	if err != nil {
