io/bvdaemon: take the time of a decision after the wait for the node

Callers would have to retransmit packets after a configuration had come into force.

Cause: a worker took the time of its decisions before it waited for the node's lock. If the node was busy for more than a second, all decisions of the batch counted as made before a pause and were dropped, although they had just been made. The check for a pause inside the node also used that earlier time.

Evidence: TestDecisionsAfterWait before the change: read udp 127.0.0.1:44537: raw-read udp 127.0.0.1:44537: i/o timeout

Change: the time is taken when the lock is held.

Why it works: the age of a decision is then the time from the decision to sending, which is what maxDecisionAge bounds. A pause before the decision is seen by the node itself, which drops the packets.

--- a/io/bvdaemon/sent_test.go
+++ b/io/bvdaemon/sent_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"balsamvane/core/bvflow"
+	"balsamvane/io/bvtunnel"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -76,3 +77,19 @@
 	}
 	assert.Len(t, h.node.sent, 2)
 }
+
+// TestDecisionsAfterWait guards against packets that are dropped as decided before a
+// pause although their worker only waited for the node, which was busy with a
+// configuration.
+func TestDecisionsAfterWait(t *testing.T) {
+	h := startHarness(t)
+	h.daemon.mu.Lock()
+	h.sendFromFabric(t, tcpPacket(t, 1, true))
+	time.Sleep(50 * time.Millisecond) // The worker reaches the lock.
+	h.clock.Advance(2 * maxDecisionAge)
+	h.daemon.mu.Unlock()
+	require.NoError(t, h.remote.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, inner, err := bvtunnel.DecodeFabric(h.receive(t))
+	require.NoError(t, err)
+	assert.Equal(t, tcpPacket(t, 1, true), inner)
+}
--- a/io/bvdaemon/worker.go
+++ b/io/bvdaemon/worker.go
@@ -53,8 +53,8 @@
 // them out.
 func (w *worker) process(items []parsedPacket) {
 	w.decisions = w.decisions[:0]
-	now := w.daemon.clock.Now()
 	w.daemon.mu.Lock()
+	now := w.daemon.clock.Now() // Events handled during the wait for the lock have earlier times.
 	for i := range items {
 		it := &items[i]
 		w.decisions = append(w.decisions, w.daemon.node.Packet(now, it.packet, it.trail, it.record))
