core/bvroute: compare only openings that came through the same balancer

Callers would see warm upstreams get the rate of cold ones at an owner while another balancer of a small group was slow.

Cause: packets reach the owner of their flow directly or through a peer. While a peer or its link delays packets, callers repeat openings that the upstream has answered. The owner compared them with openings that had come by a faster way.

Evidence: TestRetransmissionsLateInThisBalancer before the change: a_peer_that_forwards_packets_is_slow: expected: 0 actual: 1

Change: the newest answered opening is kept for each balancer that got packets from the fabric, the first one of the trail. Balancers that are not in the view are deleted.

Why it works: the openings and answers that pass through one balancer keep their order there too.

--- a/core/bvroute/answered.go
+++ b/core/bvroute/answered.go
@@ -15,11 +15,11 @@
 	maxSendTime = 10 * time.Millisecond
 )
 
-// newestAnswered tracks the most recently sent opening that was answered.
-// Openings leave this balancer in order, and so do the packets that answer them
-// arrive. So an earlier opening that is retransmitted after that answer was not
-// answered, however long packets wait in this process or in its links. RFC 8985
-// detects lost packets in this way.
+// newestAnswered tracks the most recently sent opening that was answered, of those
+// that one balancer got from the fabric. Openings leave in order, and so do the
+// packets that answer them arrive. So an earlier opening that is retransmitted
+// after that answer was not answered, however long packets wait in either balancer
+// or in its links. RFC 8985 detects lost packets in this way.
 type newestAnswered struct {
 	// settled is older than next by at least answerReordering.
 	settled, next answeredOpening
@@ -71,8 +71,20 @@
 // packet may answer any copy of a retransmitted opening, so it tells nothing about
 // the last one.
 func (c *packetContext) recordAnswered(e *bvflow.Entry) {
-	if !e.Has(bvflow.FlagRetransmitted) {
-		c.answered.record(c.now, c.packet.ArrivedAfter, c.table.OpeningSent(c.now, e))
+	if e.Has(bvflow.FlagRetransmitted) {
+		return
+	}
+	n := c.answered[c.trail.first()]
+	n.record(c.now, c.packet.ArrivedAfter, c.table.OpeningSent(c.now, e))
+	c.answered[c.trail.first()] = n
+}
+
+// pruneAnswered deletes the state of balancers that the view does not contain.
+func (r *Router) pruneAnswered() {
+	for id := range r.answered {
+		if _, ok := r.view.peers[id]; !ok && id != 0 {
+			delete(r.answered, id)
+		}
 	}
 }
 
@@ -80,7 +92,8 @@
 // last sent to t. The copy counts only if t left that opening unanswered: it may
 // have been late in this process or in its links.
 func (c *packetContext) recordRetransmission(e *bvflow.Entry, t *target) {
-	if c.answered.overtook(c.table.OpeningSent(c.now, e), c.packet.ArrivedAfter) {
+	n := c.answered[c.trail.first()]
+	if n.overtook(c.table.OpeningSent(c.now, e), c.packet.ArrivedAfter) {
 		c.limiter.Retransmitted(c.now, t.id)
 	}
 	e.Flags |= bvflow.FlagRetransmitted
--- a/core/bvroute/answered_test.go
+++ b/core/bvroute/answered_test.go
@@ -6,8 +6,10 @@
 
 	"balsamvane/core/bvconfig"
 	"balsamvane/core/bvflow"
+	"balsamvane/core/bvmember"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // retransmissionCounter counts the retransmissions that a router reports.
@@ -22,6 +24,8 @@
 type openingScenario struct {
 	router *Router
 	start  time.Time
+	peer   bvconfig.NodeID
+	trail  Trail // Trail of the packets that follow.
 	// packets[0] is the opening under test; the others are of other flows.
 	packets []bvflow.Packet
 	counter *retransmissionCounter
@@ -30,7 +34,7 @@
 func newOpeningScenario(t *testing.T) *openingScenario {
 	f := newCluster(t, 4, 0)
 	r := f.nodes[0].router
-	s := &openingScenario{router: r, start: f.now, packets: ownedOpenings(f, 8)}
+	s := &openingScenario{router: r, start: f.now, packets: ownedOpenings(f, 8), peer: f.nodes[1].ID()}
 	s.counter = &retransmissionCounter{budgetLimiter: f.nodes[0].limiter}
 	r.limiter = s.counter
 	return s
@@ -46,7 +50,14 @@
 func (s *openingScenario) read(flow int, phase bvflow.Phase, arrivedAfter, readAt int) {
 	p := s.packets[flow]
 	p.Phase, p.ArrivedAfter = phase, s.at(arrivedAfter)
-	s.router.Route(s.at(readAt), p, Trail{}, Record{})
+	s.router.Route(s.at(readAt), p, s.trail, Record{})
+}
+
+// throughPeer runs steps whose packets a peer forwarded.
+func (s *openingScenario) throughPeer(steps func()) {
+	s.trail = Trail{}.With(s.peer)
+	steps()
+	s.trail = Trail{}
 }
 
 // open routes an opening that arrived and was sent at once.
@@ -64,7 +75,7 @@
 
 // TestRetransmissionsLateInThisBalancer guards against upstreams that count as
 // cold or unresponsive because the copies of their openings, the openings or the
-// answers waited in this process or in its own links. It also guards against
+// answers waited in this process, in its own links or at a peer. It also guards against
 // copies of openings that an upstream did leave unanswered and that do not count.
 func TestRetransmissionsLateInThisBalancer(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -122,6 +133,15 @@
 				s.answer(i, 305+20*i) // The answers to the first copies.
 			}
 		}},
+		"a peer that forwards packets is slow": {run: func(s *openingScenario) {
+			s.throughPeer(func() { s.open(0, 0) })
+			s.open(1, 20)
+			s.answer(1, 25)
+			s.throughPeer(func() { s.open(0, 200); s.answer(0, 305) })
+		}},
+		"a peer forwards packets in time, the upstream does not answer": {want: 1, run: func(s *openingScenario) {
+			s.throughPeer(func() { s.open(0, 0); s.open(1, 20); s.answer(1, 25); s.open(0, 200) })
+		}},
 		"the answers wait in the balancer's own link": {run: func(s *openingScenario) {
 			s.open(1, 0)
 			s.open(0, 100)
@@ -172,3 +192,15 @@
 		})
 	}
 }
+
+// TestAnsweredOfRemovedPeers guards against state that is kept for balancers which
+// are no longer published.
+func TestAnsweredOfRemovedPeers(t *testing.T) {
+	s := newOpeningScenario(t)
+	s.open(0, 0)
+	s.answer(0, 5)
+	s.throughPeer(func() { s.open(1, 10); s.answer(1, 15) })
+	require.Len(t, s.router.answered, 2)
+	s.router.SetSnapshot(s.at(20), Snapshot{State: bvmember.StateActive})
+	assert.Len(t, s.router.answered, 1)
+}
--- a/core/bvroute/bvroute.go
+++ b/core/bvroute/bvroute.go
@@ -95,7 +95,7 @@
 	removed removals
 	bases   []Base
 
-	answered         newestAnswered
+	answered         map[bvconfig.NodeID]newestAnswered // By the balancer that got the packets from the fabric; 0 if it is this one.
 	view             *view
 	started          time.Time      // Time of the first snapshot.
 	previousViews    []previousView // Replaced views, oldest first.
@@ -123,7 +123,7 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = bvflow.DefaultLifetimes.Idle
 	}
-	return &Router{self: self, zone: zone, options: o, table: table, limiter: l, removed: removals{}}
+	return &Router{self: self, zone: zone, options: o, table: table, limiter: l, removed: removals{}, answered: map[bvconfig.NodeID]newestAnswered{}}
 }
 
 func (r *Router) enabled(m mechanism) bool { return r.options.disabled&m == 0 }
@@ -141,6 +141,7 @@
 	r.pruneRemovals(p.Bases)
 	old := r.view
 	r.view = v
+	r.pruneAnswered()
 	if old == nil {
 		r.started, r.baseline = now, v
 		return
--- a/core/bvroute/decision.go
+++ b/core/bvroute/decision.go
@@ -30,6 +30,15 @@
 	return false
 }
 
+// first returns the balancer that got the packet from the fabric, or 0 if the
+// packet was not forwarded.
+func (t Trail) first() bvconfig.NodeID {
+	if t.Count == 0 {
+		return 0
+	}
+	return t.Visited[0]
+}
+
 // With returns the trail extended by n. A full trail is returned unchanged.
 func (t Trail) With(n bvconfig.NodeID) Trail {
 	if int(t.Count) < len(t.Visited) {
