core/bvtoken: leave open flows at upstreams that only appear silent

Callers could still see open flows reset at upstreams that served them.

Cause: missing acknowledgements do not show that an upstream has crashed, whatever the balancer compares them with. Some reasons are outside of what it can see, and a reset cannot be taken back.

Change: an upstream that does not acknowledge packets gets no new flows for some time, as before. Its open flows stay until its entry is removed. The platform removes the entry of a crashed upstream after three missed heartbeats; then two unacknowledged packets end its flows, as before, but only compared with its own zone, not while packets are lost, and not with packets that are more than 10 s apart. The reason upstreamSilent is gone. An opening that comes after packets of its flow is not measured.

Callers of a crashed upstream wait up to the removal of its entry.

--- a/core/bvcatalog/restore_test.go
+++ b/core/bvcatalog/restore_test.go
@@ -397,3 +397,26 @@
 		}
 	})
 }
+
+// TestDelayedAnswerEndsGracePeriod guards against a grace period that ends with an answer
+// which the platform gave before its end, and which was late on its way. A zone that was
+// written again after that answer returns to service for a moment.
+func TestDelayedAnswerEndsGracePeriod(t *testing.T) {
+	now := start
+	c := New(Options{})
+	c.Replace(now, 0, rev(10), []Change{configuration(3, 80), ZoneOutOfService{Zone: "zone-a"}})
+	for range 10 {
+		now = now.Add(time.Second)
+		c.RecordAnswer(now, 0)
+		c.Tick(now)
+	}
+	r := rev(5)
+	r.Era++
+	c.Replace(now, 0, r, []Change{configuration(3, 80)}) // Restored from a copy without the zone.
+	c.RecordWatermark(r, now)
+	asked := now.Add(1800 * time.Millisecond)
+	c.Apply(now.Add(2600*time.Millisecond), 0, r, nil)
+	c.RecordWatermark(r, asked)
+	c.Tick(now.Add(2600 * time.Millisecond))
+	assert.True(t, c.ZoneOutOfService("zone-a"))
+}
--- a/core/bvtoken/answered.go
+++ b/core/bvtoken/answered.go
@@ -3,10 +3,11 @@
 import "time"
 
 // newestAnswered tracks the most recently sent packet that was answered. Packets leave
-// this balancer in order, and the answers to them are read in order. So when a packet
+// this balancer in order, and packets that arrive are read in order. So when a packet
 // that was sent well after another one is answered first, the other one was not
-// answered, however long packets and answers wait in this process or in its links.
-// RFC 8985 detects lost packets in the same way.
+// answered, however long packets and answers wait in this process or in its links. The
+// margin allows for the paths of callers and upstreams. RFC 8985 detects lost packets in
+// the same way.
 type newestAnswered struct {
 	sentAt time.Time // Zero if no packet was answered.
 	// before is sentAt without the answers of the batch.
@@ -57,15 +58,15 @@
 	r.batch++
 }
 
-// waited reports whether the time in which a packet is usually answered had passed
-// between its sending and the arrival of p.
-func (r *Router) waited(sentAt time.Time, p Packet) bool {
+// answerOverdue reports whether the time in which a packet is usually answered had
+// passed between its sending and the arrival of p.
+func (r *Router) answerOverdue(sentAt time.Time, p Packet) bool {
 	return !sentAt.IsZero() && p.ArrivedAfter.Sub(sentAt) >= r.handshake.timeout()
 }
 
-// overtaken reports whether a packet that was sent well after a time is the newest
-// answered one. Answers may be out of order by the time in which they usually come,
-// since upstreams and callers are at different distances.
+// overtaken reports whether the newest answered packet was sent well after a time.
+// Answers may be out of order by the time in which they usually come, since upstreams
+// and callers are at different distances.
 func (r *Router) overtaken(sentAt time.Time, newest *newestAnswered) bool {
 	return newest.beforeBatch(r.batch).Sub(sentAt) >= r.handshake.timeout()
 }
@@ -74,16 +75,17 @@
 // although answers to all packets may be late for the same reason.
 const maxCommonDelay = time.Second
 
-// unanswered reports whether the arrival of p shows that the upstream did not answer a
-// packet sent at a time. If other packets are not answered either, the answers to all of
-// them may be late because of this balancer.
-func (r *Router) unanswered(sentAt time.Time, p Packet) bool {
-	if !r.waited(sentAt, p) {
+// unanswered reports whether the arrival of p shows that an upstream did not answer a
+// packet sent at a time; newest is the newest answered packet of its zone. If other
+// packets are not answered either, the answers to all of them may be late because of
+// this balancer.
+func (r *Router) unanswered(sentAt time.Time, p Packet, newest *newestAnswered) bool {
+	if !r.answerOverdue(sentAt, p) {
 		return false
 	}
 	alone := len(r.requests.open)+r.pending.len() <= 1
 	noAnswers := !r.noAnswerSince.IsZero() && p.ArrivedAfter.Sub(r.noAnswerSince) >= maxCommonDelay
-	return alone || noAnswers || r.overtaken(sentAt, &r.answered)
+	return alone || noAnswers || r.overtaken(sentAt, newest)
 }
 
 // suspected reports whether the arrival of p makes it likely that the upstream did not
@@ -91,7 +93,7 @@
 // for some time, and does not need packets to others: all upstreams of a zone may be
 // down.
 func (r *Router) suspected(sentAt time.Time, p Packet) bool {
-	if !r.waited(sentAt, p) {
+	if !r.answerOverdue(sentAt, p) {
 		return false
 	}
 	isNewest := r.newestSent.Sub(sentAt) < r.handshake.timeout()
--- a/core/bvtoken/evidence.go
+++ b/core/bvtoken/evidence.go
@@ -7,17 +7,20 @@
 	"balsamvane/core/bvconfig"
 )
 
-// An upstream counts as crashed after crashMinUnacked consecutive
-// unacknowledged packets that span at least crashMinDuration. One lost packet, or
-// a burst of losses at one moment, is not enough.
+// The flows of a removed upstream have ended if at least endedMinUnacked consecutive
+// packets to it, over at least endedMinDuration, were not acknowledged. One lost packet,
+// or a burst of losses at one moment, is not enough.
 const (
-	crashMinUnacked  = 3
-	crashMinDuration = 350 * time.Millisecond
-	// crashRetryAfter is the age of the last unacknowledged packet from which it no
-	// longer shows a crash. Then one more packet is forwarded: links may have
-	// failed instead of the upstream, and while all its flows are reset, no answer
-	// can show that it is back.
-	crashRetryAfter = 2 * time.Second
+	endedMinUnacked  = 2
+	endedMinDuration = 350 * time.Millisecond
+	// endedRetryAfter is the age of the last unacknowledged packet from which it no
+	// longer shows that. Then one more packet is forwarded: links may have failed
+	// instead of the upstream, and while all its flows are reset, no answer can show
+	// that it is back.
+	endedRetryAfter = 2 * time.Second
+	// maxUnackedGap is the time between two unacknowledged packets from which the later
+	// one starts a new run. Packets are lost now and then.
+	maxUnackedGap = 10 * time.Second
 )
 
 // lossMemory is how long the loss of a packet shows that others may be lost as well.
@@ -25,7 +28,7 @@
 const lossMemory = 5 * time.Second
 
 // losesPackets reports whether packets to upstreams that answer were lost recently. Then
-// unacknowledged packets do not show that an upstream has crashed.
+// unacknowledged packets do not show that an upstream has ended.
 func (r *Router) losesPackets(now time.Time) bool {
 	return !r.lostPacketAt.IsZero() && now.Sub(r.lostPacketAt) < lossMemory
 }
@@ -50,6 +53,9 @@
 func (s *unackedRun) reset() { *s = unackedRun{} }
 
 func (s *unackedRun) record(now time.Time, caller netip.Addr) {
+	if s.count > 0 && now.Sub(s.last) >= maxUnackedGap {
+		s.reset()
+	}
 	if s.count == 0 {
 		s.first, s.caller = now, caller
 	}
@@ -84,12 +90,12 @@
 	}
 }
 
-// convinces reports whether the run, if it has enough packets, shows a caller that the
-// upstream has crashed: it is not a burst of losses at one moment, and is recent. The
+// showsEnd reports whether the run shows a caller that a removed upstream has ended. The
 // packets of a single caller show that only to this caller, which may get no packets
 // itself.
-func (s *unackedRun) convinces(now time.Time, caller netip.Addr) bool {
-	return s.last.Sub(s.first) >= crashMinDuration && now.Sub(s.last) < crashRetryAfter && (s.others || s.caller == caller)
+func (s *unackedRun) showsEnd(now time.Time, caller netip.Addr) bool {
+	return s.count >= endedMinUnacked && s.last.Sub(s.first) >= endedMinDuration && now.Sub(s.last) < endedRetryAfter &&
+		(s.others || s.caller == caller)
 }
 
 // A balancer counts as isolated from all upstreams after isolatedMinUnacked
--- a/core/bvtoken/place.go
+++ b/core/bvtoken/place.go
@@ -17,7 +17,8 @@
 // next packet. So a repeated opening may go to another upstream, and a refusal is
 // correct whatever happened to earlier openings of the flow.
 func (r *Router) routeOpening(now time.Time, k bvflow.Key, p Packet) Decision {
-	r.seen.remove(k) // A flow that was open from this port before has ended.
+	// A flow that was open from this port before has ended, or p is a late copy.
+	seen := r.seen.remove(k)
 	if !r.catalog.Complete() {
 		return Decision{Verdict: VerdictDrop, Reason: ReasonIncomplete}
 	}
@@ -45,7 +46,7 @@
 		reason = ReasonPlacedAgain
 	}
 	t.load.add(now, 1)
-	r.recordOpening(now, p.Source.Addr(), k, t)
+	r.recordOpening(now, p.Source.Addr(), k, t, seen)
 	r.recent.put(p.Source.Addr(), k)
 	return forward(t.entry, reason)
 }
@@ -72,15 +73,16 @@
 	return us
 }
 
-// recordOpening records a placed opening, which may be a repeated one.
-func (r *Router) recordOpening(now time.Time, caller netip.Addr, k bvflow.Key, t *target) {
+// recordOpening records a placed opening, which may be a repeated one. seen is true if
+// packets of the open flow have been routed.
+func (r *Router) recordOpening(now time.Time, caller netip.Addr, k bvflow.Key, t *target, seen bool) {
 	before, repeated := r.pending.remove(k)
 	if repeated {
 		r.releaseOpening(before)
 	}
 	t.load.opening++
 	r.unsent = append(r.unsent, k)
-	if evicted, ok := r.pending.put(caller, k, opening{upstream: t.entry.ID, at: now, repeated: repeated}); ok {
+	if evicted, ok := r.pending.put(caller, k, opening{upstream: t.entry.ID, at: now, repeated: repeated || seen}); ok {
 		r.releaseOpening(evicted)
 	}
 }
--- a/core/bvtoken/reason.go
+++ b/core/bvtoken/reason.go
@@ -19,7 +19,6 @@
 	ReasonUnknownToken                   // No upstream for the token.
 	ReasonNoToken                        // Packet of an open flow without a token.
 	ReasonUpstreamRemoved                // The upstream was removed.
-	ReasonUpstreamSilent                 // The upstream does not acknowledge packets, while others do.
 	ReasonUnreadable                     // The upstream's entry cannot be decoded, so its address is unknown.
 	ReasonMalformed                      // The packet cannot be decoded.
 	ReasonInternal                       // The decision panicked.
@@ -28,7 +27,7 @@
 
 var reasonNames = [numReasons]string{
 	"placed", "placedFarther", "placedAgain", "placedSilent", "token", "tokenUnreadRoute", "incomplete", "noRoute", "noUpstream",
-	"busy", "coldBudget", "unknownToken", "noToken", "upstreamGone", "upstreamSilent", "unreadable", "malformed", "internal",
+	"busy", "coldBudget", "unknownToken", "noToken", "upstreamGone", "unreadable", "malformed", "internal",
 }
 
 // String returns the reason in camel case.
@@ -63,7 +62,6 @@
 	"no upstream existed for the token",
 	"the packet was not an opening and had no token",
 	"the upstream had been removed, after it had drained or while it did not answer, so the flow had ended",
-	"the upstream did not acknowledge packets while others did, and the request is idempotent",
 	"the upstream's entry could not be decoded, so its address was unknown",
 	"the packet could not be decoded",
 	"the balancer panicked during the decision; see the log line of the panic",
--- a/core/bvtoken/removed.go
+++ b/core/bvtoken/removed.go
@@ -8,11 +8,6 @@
 	"balsamvane/core/bvflow"
 )
 
-// removedMinUnacked is how many consecutive unacknowledged packets, over at least
-// crashMinDuration, show that a removed upstream has ended. It is lower than
-// crashMinUnacked, since the removal is evidence too.
-const removedMinUnacked = 2
-
 // removedUpstreams holds the unacknowledged packets of upstreams whose entries were
 // removed. An upstream without an entry may serve: its entry expires while it does
 // not reach the platform, and a restore of the platform may lose its registration.
@@ -32,7 +27,7 @@
 		r.removed[e.ID] = run
 	}
 	r.observeRemoved(now, k, e, run, p)
-	if run.count >= removedMinUnacked && run.convinces(now, p.Source.Addr()) {
+	if !r.losesPackets(now) && run.showsEnd(now, p.Source.Addr()) {
 		r.dropRequest(k)
 		d := r.resetFrom(e, p, ReasonUpstreamRemoved)
 		d.Evidence = r.evidence(now, run, p)
@@ -63,7 +58,7 @@
 	r.unsent = append(r.unsent, k)
 	if repeats {
 		run.repeats++
-		if r.unanswered(sentAt, p) {
+		if r.unanswered(sentAt, p, &r.zone(e.Zone).answered) {
 			run.record(now, p.Source.Addr())
 		}
 	}
--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -27,7 +27,7 @@
 		return Decision{Verdict: VerdictDrop, Reason: ReasonNoToken}
 	}
 	openFor := r.seen.record(now, k, p.Token)
-	route, routed := r.catalog.Route(p.Destination)
+	_, routed := r.catalog.Route(p.Destination)
 	if !routed && r.knowsRemovalsSince(now.Add(-openFor)) {
 		return r.reset(p, ReasonNoRoute)
 	}
@@ -49,15 +49,10 @@
 	if t == nil { // An upstream without a service has no measurements.
 		return forward(e, reason)
 	}
+	// An upstream that does not answer gets no new flows for some time. Its open flows
+	// stay until its entry is removed: packets may also be late or lost because of this
+	// balancer, its links or a caller.
 	r.observe(now, k, t, p)
-	if route.Idempotent && r.crashed(now, t, p) {
-		// The caller can repeat the request elsewhere, which is better than waiting
-		// until its deadline.
-		r.dropRequest(k)
-		d := r.resetFrom(e, p, ReasonUpstreamSilent)
-		d.Evidence = r.evidence(now, &t.unacked, p)
-		return d
-	}
 	return forward(e, reason)
 }
 
@@ -81,14 +76,6 @@
 	return r.catalog.Complete() && r.catalog.Confirmed(t)
 }
 
-// crashed reports whether an upstream appears to have crashed, as far as the caller of
-// p is concerned: it does not acknowledge packets while others in its zone do. An
-// upstream in another zone may only be unreachable from this balancer, while other
-// balancers can still serve the flow.
-func (r *Router) crashed(now time.Time, t *target, p Packet) bool {
-	return t.inZone && !r.losesPackets(now) && t.unacked.overtaken >= crashMinUnacked && t.unacked.convinces(now, p.Source.Addr())
-}
-
 // catalogCurrent reports whether the catalog is recent enough to refuse a new flow
 // for what the catalog lacks. It does not show that an open flow has ended; see
 // knowsRemovalsSince.
@@ -231,10 +218,10 @@
 // already been counted as unanswered.
 func (r *Router) recordRetransmission(now time.Time, t *target, p Packet, sentAt time.Time, counted bool) {
 	t.unacked.repeats++
-	if r.waited(sentAt, p) && !counted {
+	if r.answerOverdue(sentAt, p) && !counted {
 		r.reachability.record(now, p.Source.Addr())
 	}
-	if r.unanswered(sentAt, p) {
+	if r.unanswered(sentAt, p, &t.zone.answered) {
 		t.unacked.record(now, p.Source.Addr())
 		if r.overtaken(sentAt, &t.zone.answered) {
 			t.unacked.overtaken++
--- a/core/bvtoken/seen.go
+++ b/core/bvtoken/seen.go
@@ -58,9 +58,13 @@
 	return time.Duration(at-x.first-1) * time.Millisecond // Both times are rounded down.
 }
 
-// remove forgets a flow whose caller opens a new one from the same port.
-func (s *seenFlows) remove(k bvflow.Key) {
-	if x, key := s.slot(k); x.key == key {
-		*x = seenFlow{}
+// remove forgets a flow whose caller opens a new one from the same port. It reports
+// whether the flow was held.
+func (s *seenFlows) remove(k bvflow.Key) bool {
+	x, key := s.slot(k)
+	if x.key != key || x.token == 0 {
+		return false
 	}
+	*x = seenFlow{}
+	return true
 }
