--- a/core/bvcatalog/restore_test.go
+++ b/core/bvcatalog/restore_test.go
@@ -414,9 +414,13 @@
 	r.Era++
 	c.Replace(now, 0, r, []Change{configuration(3, 80)}) // Restored from a copy without the zone.
 	c.RecordWatermark(r, now)
-	asked := now.Add(1800 * time.Millisecond)
-	c.Apply(now.Add(2600*time.Millisecond), 0, r, nil)
-	c.RecordWatermark(r, asked)
-	c.Tick(now.Add(2600 * time.Millisecond))
+	answer := func(after, asked time.Duration) {
+		c.Apply(now.Add(after), 0, r, nil)
+		c.RecordWatermark(r, now.Add(asked))
+		c.Tick(now.Add(after))
+	}
+	answer(900*time.Millisecond, 900*time.Millisecond)
+	answer(1800*time.Millisecond, 1800*time.Millisecond)
+	answer(2600*time.Millisecond, 1800*time.Millisecond)
 	assert.True(t, c.ZoneOutOfService("zone-a"))
 }
