core/bvtoken: release the request of a port that its caller has reused

An acknowledgement of a flow that had moved to another upstream by the reuse of its port removed the request of the upstream before without releasing it. That upstream then had one open request too many for good, and got fewer new flows. TestReusedPort: expected 0, was 1.

A request that a closing packet ends is measured only if the packet was read promptly, as an answered one is. Any answer of an upstream shows that answers come.

--- a/core/bvtoken/route.go
+++ b/core/bvtoken/route.go
@@ -115,14 +115,15 @@
 		r.recordCompletion(t)
 		r.recordAlive(now, t)
 	}
-	if q, ok := r.requests.complete(k, p); ok && q.upstream == t.entry.ID {
+	switch q, ok := r.requests.complete(k, p); {
+	case ok && q.upstream == t.entry.ID:
 		r.recordAnswered(t, q.firstSentAt)
 		r.recordAnswer(now, t, q, p)
+	case ok: // The caller has reused its port.
+		r.releaseRequest(q)
 	}
 	if p.Phase != bvflow.PhaseEstablished {
-		if q, ok := r.requests.remove(k); ok {
-			r.recordUnserved(now, q)
-		}
+		r.recordClosing(now, k, p)
 		return
 	}
 	if p.Payload == 0 {
@@ -165,6 +166,7 @@
 	}
 	t.unacked.reset()
 	r.reachability.reset()
+	r.noAnswerSince = time.Time{}
 	t.zone.recordAnswer()
 	r.limiter.Answered(now, t.entry.ID)
 	if t.state == stateUnresponsive {
@@ -270,6 +272,18 @@
 	}
 }
 
+// recordClosing records that the packet p ends a flow, whose request may be unanswered.
+func (r *Router) recordClosing(now time.Time, k bvflow.Key, p Packet) {
+	q, ok := r.requests.remove(k)
+	switch {
+	case !ok:
+	case readPromptly(now, p):
+		r.recordUnserved(now, q)
+	default: // The caller may have ended the flow much earlier.
+		r.releaseRequest(q)
+	}
+}
+
 // recordUnserved records a request that ended without an answer. Its latency is
 // at least the time until then. If it were not counted, an upstream that hangs or
 // drops requests would look fast, since only the requests that it serves count.
--- a/core/bvtoken/route_test.go
+++ b/core/bvtoken/route_test.go
@@ -346,6 +346,12 @@
 	assert.Equal(t, 1, f.router.targets[x.upstream].load.open)
 	f.answer(x)
 	assert.Zero(t, f.router.targets[x.upstream].load.open)
+	f.request(x, false)
+	before = x.upstream
+	x.upstream = 23 - before
+	x.token = bvcatalog.TokenOf(x.upstream)
+	f.answer(x) // Of the flow before, or the first packet of the new one.
+	assert.Zero(t, f.router.targets[before].load.open)
 }
 
 // TestBoundedMemory guards against memory that grows with openings and
