--- a/core/bvtoken/answered.go
+++ b/core/bvtoken/answered.go
@@ -36,7 +36,6 @@
 
 // recordAnswered records that the packet sent to an upstream at a time was answered.
 func (r *Router) recordAnswered(t *target, sentAt time.Time) {
-	r.noAnswerSince = time.Time{}
 	r.answered.record(r.batch, sentAt)
 	t.zone.answered.record(r.batch, sentAt)
 }
--- a/core/bvtoken/removed_test.go
+++ b/core/bvtoken/removed_test.go
@@ -98,3 +98,57 @@
 	d := f.request(f.openedElsewhere(tickets, 11), false)
 	assert.Equal(t, VerdictForward, d.Verdict, d.Reason)
 }
+
+// connectTo opens a flow at an upstream.
+func (f *fixture) connectTo(id bvconfig.UpstreamID) *flow {
+	for {
+		if x := f.connect(tickets); x.upstream == id {
+			return x
+		}
+	}
+}
+
+// repeatTwice sends a request whose packets get no acknowledgement, while another flow's
+// requests are answered, and returns the last decision.
+func (f *fixture) repeatTwice(x, other *flow) Decision {
+	d := f.request(x, false)
+	for range 2 {
+		f.advance(200 * time.Millisecond)
+		f.request(other, false)
+		f.answer(other)
+		f.advance(200 * time.Millisecond)
+		d = f.request(x, true)
+	}
+	return d
+}
+
+// TestRemovedUpstreamLosses guards against resets of flows at a live upstream whose entry
+// has expired when packets are lost now and then: long ago, or to other upstreams too.
+func TestRemovedUpstreamLosses(t *testing.T) {
+	t.Run("far apart", func(t *testing.T) {
+		f := newFixture(11, 12)
+		x, other := f.connectTo(11), f.connectTo(12)
+		f.remove(11)
+		f.request(x, false)
+		f.advance(400 * time.Millisecond)
+		f.request(x, true)
+		for range 4 {
+			f.advance(5 * time.Second)
+			f.request(other, false)
+			f.answer(other)
+		}
+		f.request(x, false)
+		f.advance(400 * time.Millisecond)
+		assert.Equal(t, VerdictForward, f.request(x, true).Verdict)
+	})
+	t.Run("to other upstreams", func(t *testing.T) {
+		f := newFixture(11, 12, 13)
+		x, lossy, other := f.connectTo(11), f.connectTo(12), f.connectTo(13)
+		f.remove(11)
+		f.repeatTwice(lossy, other)
+		f.answer(lossy)
+		assert.Equal(t, VerdictForward, f.repeatTwice(x, other).Verdict)
+		f.advance(lossMemory)
+		assert.Equal(t, VerdictReset, f.repeatTwice(x, other).Verdict)
+	})
+}
