--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/review-2/bvreview ] && [ -x ../../target/balsamvane ] || exit 2
-exec ../../target/review-2/bvreview alias --program ../../target/balsamvane --record record.txt
+exec ../../target/review-2/bvreview copies --program ../../target/balsamvane --record record.txt
